--- a/src/main.rs
+++ b/src/main.rs
@@ -54,7 +54,8 @@
     spawn_local(tend_fleet(core.clone(), orders));
     spawn_local(async move { pool.tidy().await });
 
-    let mut directory = Directory::new(core.clone(), config.settings, config.names.clone(), clock);
+    let mut directory =
+        Directory::new(core.clone(), config.settings, config.names.clone(), clock, config.seed);
     if let Some(known) = &config.known {
         directory.take(known);
     }
@@ -141,6 +142,9 @@
         counted.push(("chat", counters.clone()));
         start_chat(config, clock, counters, &shutdown).await?;
     }
+    for (front, counters) in &counted {
+        spawn_local(counters.clone().report(front));
+    }
     shutdown.run().await?;
     for (front, counters) in counted {
         tracing::info!("counters of {front}: {}", counters.line());
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -2,9 +2,16 @@
 
 use std::cell::Cell;
 use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::sleep;
 
 use crate::api::Outcome;
 
+/// Between lines of the log that tell what has been counted: operators compare a good stretch with a bad one.
+const REPORT: Duration = Duration::from_secs(5);
+
 macro_rules! counters {
     ($($(#[$doc:meta])* $name:ident),* $(,)?) => {
         /// Counts since the start of the process.
@@ -108,6 +115,22 @@
         });
     }
 
+    /// Logs, for ever, what was counted since the last such line; nothing while nothing was.
+    pub async fn report(self: Rc<Self>, front: &'static str) {
+        let mut before = self.all();
+        loop {
+            sleep(REPORT).await;
+            let now = self.all();
+            let grown = now.iter().map(|(name, count)| (*name, count - before.get(name).unwrap_or(&0)));
+            let grown: BTreeMap<_, _> = grown.filter(|(_, more)| *more > 0).collect();
+            if !grown.is_empty() {
+                let line = serde_json::to_string(&grown).unwrap_or_default();
+                tracing::info!("counters of {front}, last {} s: {line}", REPORT.as_secs());
+            }
+            before = now;
+        }
+    }
+
     /// All counts as one line of JSON.
     pub fn line(&self) -> String {
         serde_json::to_string(&self.all()).unwrap_or_default()
