--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -25,10 +25,17 @@
 /// Silence after which a watch is given up: an empty line is due every 2 s. What it should have told counts as told
 /// 6 s later, so a new watch must be there well before.
 const SILENCE: Duration = Duration::from_millis(3_200);
-/// For discovery to take a connection and to answer.
-const ANSWER: Duration = Duration::from_millis(1_500);
-/// Between tries.
-const AGAIN: Duration = Duration::from_millis(250);
+/// For discovery to take a connection and to answer. Calls wait in turn there and are told when they have waited too
+/// long: one that is given up sooner is still worked on, and the next only lengthens the queue.
+const ANSWER: Duration = Duration::from_secs(4);
+/// Before the first further try, at least...
+const AGAIN_LEAST: Duration = Duration::from_millis(250);
+/// ...and for each conductor of the fleet: discovery is one service for all, and what ends one watch mostly ends all.
+const AGAIN_EACH: Duration = Duration::from_millis(10);
+/// How often the wait doubles while tries fail.
+const DOUBLINGS: u32 = 3;
+/// Longest wait however large the fleet: what drains has to be heard of.
+const AGAIN_MOST: Duration = Duration::from_secs(10);
 /// Longest line or list that is read.
 const MOST: usize = 4 * 1024 * 1024;
 
@@ -86,6 +93,38 @@
     Ended,
 }
 
+/// How long to wait before the next try, so that a whole fleet whose watches ended together neither comes back as one
+/// nor keeps a crowded discovery from answering anybody.
+#[derive(Debug)]
+pub struct Backoff {
+    first: Duration,
+    failed: u32,
+    seed: u64,
+    drawn: u64,
+}
+
+impl Backoff {
+    /// For one of so many conductors; each has a seed of its own.
+    pub fn new(conductors: u32, seed: u64) -> Self {
+        let first = (AGAIN_EACH * conductors).clamp(AGAIN_LEAST, AGAIN_MOST);
+        Backoff { first, failed: 0, seed, drawn: 0 }
+    }
+
+    /// The wait after one more failure, drawn evenly from half to one and a half times what is due.
+    pub fn wait(&mut self) -> Duration {
+        let due = (self.first * 2u32.pow(self.failed)).min(AGAIN_MOST);
+        self.failed = (self.failed + 1).min(DOUBLINGS);
+        self.drawn += 1;
+        let draw = xxh3_64_with_seed(&self.drawn.to_le_bytes(), self.seed) >> 32;
+        due.mul_f64(0.5 + draw as f64 / f64::from(u32::MAX))
+    }
+
+    /// Discovery answers: the next failure is a first one.
+    pub fn answered(&mut self) {
+        self.failed = 0;
+    }
+}
+
 /// Takes lists in for a fleet: hosts to its planner, addresses to its pool.
 pub struct Directory {
     core: Core,
@@ -94,12 +133,14 @@
     clock: Clock,
     ids: HashMap<String, HostId>,
     version: Option<u64>,
+    backoff: Backoff,
 }
 
 impl Directory {
     /// An empty directory.
-    pub fn new(core: Core, settings: Settings, names: Names, clock: Clock) -> Self {
-        Directory { core, settings, names, clock, ids: HashMap::new(), version: None }
+    pub fn new(core: Core, settings: Settings, names: Names, clock: Clock, seed: u64) -> Self {
+        let backoff = Backoff::new(settings.routers, seed);
+        Directory { core, settings, names, clock, ids: HashMap::new(), version: None, backoff }
     }
 
     /// The same number for the same id at every conductor, whatever its order among the rest.
@@ -159,7 +200,7 @@
         self.core.planner.hosts(list.full, members);
     }
 
-    /// Follows discovery for ever, wherever it is; `told` turns true with the first list. At a new address the whole
+    /// Follows discovery for ever, wherever it is; `told` turns true when it has answered first. At a new address the whole
     /// list is asked for again: its versions may not go on from the old one's.
     pub async fn follow(mut self, mut address: watch::Receiver<SocketAddr>, told: watch::Sender<bool>) {
         loop {
@@ -169,11 +210,13 @@
             }
             let addr = *address.borrow_and_update();
             add(&self.core.counters.watches);
+            let wait;
             tokio::select! {
                 ended = self.watch(addr, &told) => {
                     let ended = ended.err().unwrap_or(WatchError::Ended);
-                    tracing::warn!("discovery: watch lost, {ended}; trying again");
                     self.core.planner.hosts_failed();
+                    wait = self.backoff.wait();
+                    tracing::warn!("discovery: watch lost, {ended}; trying again in {} ms", wait.as_millis());
                 }
                 Ok(()) = address.changed() => {
                     address.mark_changed();
@@ -181,15 +224,16 @@
                 }
             }
             tokio::select! {
-                () = sleep(AGAIN) => {}
+                () = sleep(wait) => {}
                 Ok(()) = address.changed() => address.mark_changed(),
             }
         }
     }
 
     async fn watch(&mut self, addr: SocketAddr, told: &watch::Sender<bool>) -> Result<(), WatchError> {
-        // The list that came with the configuration may be old: it is not gone on from.
-        let since = match self.version.filter(|_| *told.borrow()) {
+        // The list that came with the configuration may be old, and the watch begins with what it has missed. A whole
+        // list costs discovery work by the line: a fleet that starts together and asks for it keeps all from hearing.
+        let since = match self.version {
             Some(version) => version,
             None => {
                 let mut body = get(addr, "/api/targets").await?;
@@ -209,6 +253,8 @@
         let mut body = get(addr, &format!("/api/targets?follow=1&since={since}")).await?;
         let mut text = BytesMut::new();
         while let Some(part) = piece(&mut body, SILENCE).await? {
+            self.backoff.answered();
+            told.send_replace(true);
             text.extend_from_slice(&part);
             while let Some(end) = text.iter().position(|&b| b == b'\n') {
                 let line = text.split_to(end + 1);
--- /dev/null
+++ b/tests/discovery.rs
@@ -0,0 +1,80 @@
+//! How a conductor asks discovery, which serves the whole fleet.
+
+mod player;
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{TcpListener, TcpStream};
+use std::time::Duration;
+
+use croftsill::node::discovery::Backoff;
+
+/// Takes one call to discovery: its request line, and the connection to answer on.
+fn call(listener: &TcpListener) -> (String, TcpStream) {
+    let (socket, _) = listener.accept().expect("a call");
+    let mut reader = BufReader::new(socket.try_clone().expect("a second handle"));
+    let (mut first, mut line) = (String::new(), String::new());
+    reader.read_line(&mut first).expect("a request line");
+    while line != "\r\n" {
+        line.clear();
+        reader.read_line(&mut line).expect("a head");
+    }
+    (first.trim_end().to_owned(), socket)
+}
+
+#[test]
+fn a_start_with_a_known_list_makes_one_call_for_what_it_missed_and_waits_its_turn() {
+    let base = player::address();
+    let listener = TcpListener::bind(format!("{base}:8500")).expect("a free address");
+    let config = player::platform(&base);
+    let text = std::fs::read_to_string(&config).expect("the file just written");
+    let known = player::target(&base, "w1", "Ready");
+    let known = format!("\"known\":{{\"version\":41,\"full\":true,\"servers\":[{known}]}},\"settings\"");
+    player::file(&base, "config.json", &text.replace("\"settings\"", &known));
+    let mut program = player::Program::start(&base, &[], &[("LB_CONFIG", &config)]);
+    let (asked, mut socket) = call(&listener);
+    assert_eq!(asked, "GET /api/targets?follow=1&since=41 HTTP/1.1");
+    // A crowded discovery lets calls wait in turn: each that is given up early would be worked on in vain.
+    std::thread::sleep(Duration::from_secs(2));
+    let change = player::target(&base, "w1", "Terminating");
+    let change = format!("{{\"version\":42,\"full\":false,\"servers\":[{change}]}}\n");
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    write!(socket, "{head}{:x}\r\n{change}\r\n", change.len()).expect("it listens");
+    program.logs("discovery: w1 is Terminating");
+    program.logs("ready, with discovery's list");
+    let log = program.end();
+    assert!(log.contains("\"watches\":1}"), "{log}");
+}
+
+/// The most calls in any second, from `from` seconds on, of a fleet whose calls all fail at once for a minute.
+fn busiest_second(conductors: u32, from: u64) -> usize {
+    let mut calls: BTreeMap<u64, usize> = BTreeMap::new();
+    for seed in 0..u64::from(conductors) {
+        let (mut backoff, mut at) = (Backoff::new(conductors, seed), Duration::ZERO);
+        while at < Duration::from_secs(60) {
+            at += backoff.wait();
+            *calls.entry(at.as_secs()).or_default() += 1;
+        }
+    }
+    calls.range(from..60).map(|(_, calls)| *calls).max().unwrap_or(0)
+}
+
+#[test]
+fn a_large_fleet_that_is_turned_away_spreads_its_calls() {
+    assert!(busiest_second(100, 0) <= 100, "{} calls at first", busiest_second(100, 0));
+    assert!(busiest_second(100, 15) <= 25, "{} calls a second go on", busiest_second(100, 15));
+    assert!(busiest_second(400, 0) <= 150, "{} calls of a larger fleet", busiest_second(400, 0));
+}
+
+#[test]
+fn a_small_fleet_tries_again_soon_and_sooner_again_once_it_was_answered() {
+    let mut backoff = Backoff::new(4, 7);
+    let first = backoff.wait();
+    assert!(first <= Duration::from_millis(375), "{first:?}");
+    for _ in 0..5 {
+        backoff.wait();
+    }
+    assert!(backoff.wait() >= Duration::from_millis(1_000));
+    backoff.answered();
+    assert!(backoff.wait() <= Duration::from_millis(375));
+}
