Probe a writer no more often the more conductors there are

Each conductor asked each writer every 0.7 to 2.8 s and all of them with its first request: 24 probes a request with 100 conductors ('"probes":4516' beside '"taken":299' in the counters of 5 s).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -56,6 +56,7 @@
 const READY_MOST: f64 = 0.8; // ...and after which it is let go
 const PROBE_EVERY: Micros = 700_000; // between probes of a writer: its reports are not much fresher...
 const PROBE_CALM: Micros = 2_800_000; // ...and while nothing had to wait, as each has its price
+const PROBERS: f64 = 4.0; // routers that probe as often as that; more take turns, as what a host bears is no more
 const PRESSED: Micros = 5_000_000; // for which a wait or an attempt in vain counts as pressure
 const COLD_SHARE: f64 = 0.5; // of the cold budget in use: sends of many routers bunch by chance
 const QUOTA_SLACK: f64 = 1.25; // multiple of an even part of a quota let through: traffic is not even
@@ -939,10 +940,16 @@
             self.pressed_at = now;
         }
         let pressed = now < self.pressed_at.saturating_add(PRESSED);
-        let every = if pressed { PROBE_EVERY } else { PROBE_CALM } as f64;
+        let turns = f64::from(self.set.routers).max(PROBERS) / PROBERS;
+        let every = if pressed { PROBE_EVERY } else { PROBE_CALM } as f64 * turns;
         for host in self.hosts.values_mut().filter(|h| h.role != Role::Read && h.phase == Phase::Serving) {
-            // By chance, lest all are asked at once for ever.
-            let gap = every * (0.75 + 0.5 * chance(host.id.0, host.probed_at as u64 ^ self.salt));
+            // By chance, lest all are asked at once for ever, or by all routers at the start.
+            let draw = chance(host.id.0, host.probed_at as u64 ^ self.salt);
+            if host.probed_at == 0 {
+                host.probed_at = now - (every * draw) as Micros;
+                continue;
+            }
+            let gap = every * (0.75 + 0.5 * draw);
             if now >= host.probed_at.saturating_add(gap as Micros) {
                 host.probed_at = now;
                 out.push(Action::Probe(host.id));
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -2,6 +2,7 @@
 mod common;
 
 use common::*;
+use croftsill::Router;
 use croftsill::api::*;
 
 #[test]
@@ -372,3 +373,26 @@
     // Nor does its silence make the host look slow to the next.
     assert_eq!(time_out(&rig.step(S, &[ended(1, WRITER, Outcome::Cancelled, true), whole(3)])), 4 * S);
 }
+
+/// Probes that one writer gets in ten seconds from so many routers, each of which holds a request all the time.
+fn probes_by(routers: u32) -> usize {
+    let mut set = settings();
+    (set.routers, set.limits.probes) = (routers, true);
+    let probes = |out: &[Action]| out.iter().filter(|a| matches!(a, Action::Probe(_))).count();
+    let by_one = |seed: u32| {
+        let mut rig = Rig { router: Router::new(set.clone(), u64::from(seed)), now: 100 * S };
+        rig.step(0, &[Event::Hosts { whole: true, members: vec![member(WRITER, 1)] }]);
+        let patient = NewRequest { time_left: 60 * S, ..ask(1) };
+        let first = probes(&rig.step(0, &[Event::Request(patient)]));
+        first + (0..200).map(|_| probes(&rig.tick(50 * MS))).sum::<usize>()
+    };
+    (0..routers).map(by_one).sum()
+}
+
+#[test]
+fn a_writer_is_probed_as_often_by_a_large_fleet_as_by_a_small_one() {
+    let (few, many) = (probes_by(4), probes_by(100));
+    assert!(few >= 20, "a small fleet asks every 0.7 s: {few} probes in 10 s");
+    assert!(many <= few * 3 / 2, "{many} probes by 100 routers, {few} by 4");
+    assert!(many >= few / 2, "{many} probes by 100 routers, {few} by 4");
+}
