Send a read state on at once when its aim is past already

The test asked for a first token before the aim, which nothing passes after it, so such a state waited 0.4 of the pin limit and then went untested: 'Read ... at 3190' and 'send ... at 3594' in the log of one request.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -233,8 +233,9 @@
     /// Tokens to read at its reader when it was sent, its own among them.
     read_load: f64,
     from_low: bool,
-    /// Since when a state waits with no attempt out.
+    /// Since when a state waits with no attempt out, and whether even the quickest writer would be past its aim.
     ready_since: Micros,
+    late: bool,
     /// The first attempt that may have had its effect.
     may_have_run: Option<(HostId, Micros)>,
     over_share: bool,
@@ -360,7 +361,7 @@
         let Some(r) = self.requests.get(&id) else { return };
         let home = self.homes(r, |h| h.phase == Phase::Serving).first().map(|h| h.id);
         let Some(r) = self.requests.get_mut(&id) else { return };
-        (r.reader, r.home) = (None, home);
+        (r.reader, r.home, r.late) = (None, home, false);
         r.stage = if r.over_share { Stage::Low } else { Stage::High };
         let tier = if r.over_share { &mut self.low } else { &mut self.high };
         tier.insert((r.aim_at, id));
@@ -463,7 +464,7 @@
         let full = held / (host.memory * MEMORY_BOUND).max(1.0);
         if tested {
             let start = now.saturating_add((ready_in + self.first_time(now, host)) as Micros);
-            let limit = if r.stage == Stage::Low { r.deadline } else { r.aim_at };
+            let limit = if r.stage == Stage::Low || r.late { r.deadline } else { r.aim_at };
             if slow > 1.0 || full > 1.0 || start > limit {
                 return None;
             }
@@ -586,7 +587,13 @@
     /// Sends on the states that wait: to the admitted writer if it still passes, else to another.
     fn send_ready(&mut self, now: Micros, out: &mut Vec<Action>) {
         let ready = self.requests.iter().filter(|(_, r)| r.stage == Stage::Ready).map(|(&id, _)| id);
-        for id in ready.collect::<Vec<_>>() {
+        let ready: Vec<_> = ready.collect();
+        if ready.is_empty() {
+            return;
+        }
+        let start = now.saturating_add(self.quickest(false, |h| self.first_time(now, h)) as Micros);
+        for id in ready {
+            self.requests.entry(id).and_modify(|r| r.late = start > r.aim_at);
             let r = &self.requests[&id];
             let held_for = (now - r.ready_since) as f64 / self.set.rules.pin_limit.max(1) as f64;
             let spent = r.sent >= self.set.limits.max_attempts || now >= r.deadline - ANSWER_MARGIN;
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -396,3 +396,12 @@
     assert!(many <= few * 3 / 2, "{many} probes by 100 routers, {few} by 4");
     assert!(many >= few / 2, "{many} probes by 100 routers, {few} by 4");
 }
+
+#[test]
+fn a_state_whose_aim_is_past_goes_on_at_once() {
+    let mut rig = Rig::new(settings(), &[member(READER, 0), member(WRITER, 1)]);
+    assert_eq!(sent_to(&rig.request(1)), Some(READER));
+    // The read took longer than the aim of 1.06 s, and the client waits until 4 s.
+    let out = rig.step(1_500 * MS, &[ended(1, READER, Outcome::Read, false)]);
+    assert_eq!(sent_to(&out), Some(WRITER), "waiting gains it nothing: {out:?}");
+}
