Measure a cold host's part by what arrives, not by what was sent

The least gap between sends to a starting host came from the own sends, which that gap itself makes fewer: in a rolling release, when most readers are cold, each router sent ever less and held its requests to the deadline.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -59,6 +59,7 @@
 const PROBERS: f64 = 4.0; // routers that probe as often as that; more take turns, as what a host bears is no more
 const PRESSED: Micros = 5_000_000; // for which a wait or an attempt in vain counts as pressure
 const COLD_SHARE: f64 = 0.5; // of the cold budget in use: sends of many routers bunch by chance
+const SEEN_LEAST: f64 = 0.1; // part of a whole view of the arrivals that is believed: a second's worth
 const QUOTA_SLACK: f64 = 1.25; // multiple of an even part of a quota let through: traffic is not even
 const QUOTA_BURST: f64 = 2e6; // of quota that may be used at once
 const ANSWER_MARGIN: Micros = 10_000; // before the deadline at which what is held is answered
@@ -263,8 +264,9 @@
     low_next: Micros,
     low_gap: f64,
     salt: u64,
-    reads: Fading,
-    writes: Fading,
+    /// First tries, counted since the first look at the clock.
+    arrivals: Fading,
+    since: Option<Micros>,
     /// When a request last had to wait, or an attempt was in vain.
     pressed_at: Micros,
     wake_at: Option<Micros>,
@@ -288,6 +290,7 @@
 
     /// Takes in what happened and says what to do, in order.
     pub fn handle(&mut self, now: Micros, events: &[Event], out: &mut Vec<Action>) {
+        self.since.get_or_insert(now);
         for event in events {
             self.take(now, event, out);
         }
@@ -328,6 +331,9 @@
         let stretch = (class.aim_per_1000 as f64 * ask.prompt_tokens / 1000.0) as Micros;
         let aim_at = now.saturating_add(class.aim.saturating_add(stretch).min(ask.time_left));
         let over_share = ask.tenant.is_some_and(|t| self.over_quota(now, t));
+        if !ask.again {
+            self.arrivals.count(now);
+        }
         let gain = if self.footprint > 0.0 { FLEET_GAIN } else { 1.0 };
         self.footprint += gain * (ask.prompt_tokens + tokens - self.footprint);
         let request = Request {
@@ -446,7 +452,6 @@
         if let Some(r) = self.requests.get_mut(&id) {
             (r.stage, r.reader, r.read_load) = (Stage::Reading, Some(reader), load);
         }
-        self.reads.count(now);
         self.send(now, id, reader, expected, out);
     }
 
@@ -640,7 +645,6 @@
         let reads = if r.reader.is_none() { self.read_time(now, host, r) } else { 0.0 };
         let expected = self.first_time(now, host) + reads;
         self.requests.entry(id).and_modify(|r| r.stage = Stage::Writing);
-        self.writes.count(now);
         self.send(now, id, writer, expected, out);
     }
 
@@ -915,11 +919,13 @@
     }
 
     /// Rule 4: least time between own sends to a starting host, even within this router's part of the start
-    /// capacity, measured by what a host of that role takes now. It may be far over the window.
+    /// capacity, measured by what would come to a host of that role: what goes there shrinks with this very guard, and
+    /// a router that has just started has sent nothing yet. It may be far over the window.
     fn cold_gap(&self, now: Micros, to: HostId) -> Micros {
         let Some(host) = self.hosts.get(&to) else { return 0 };
         let rules = &self.set.rules;
-        let rate = if host.role == Role::Read { self.reads } else { self.writes }.get(now, 0.0) / FADE;
+        let seen = 1.0 - 0.5f64.powf((now - self.since.unwrap_or(now)) as f64 / FADE);
+        let rate = self.arrivals.get(now, 0.0) / seen.max(SEEN_LEAST) / FADE;
         let same =
             |h: &&Host| (h.role == Role::Read) == (host.role == Role::Read) && h.phase == Phase::Serving;
         let each = rate / self.hosts.values().filter(same).count().max(1) as f64;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -236,3 +236,36 @@
     assert!(most.unwrap() <= 11, "{most:?} in one second");
     assert!(sends.len() >= 10, "{} in all", sends.len());
 }
+
+#[test]
+fn rule_4_where_all_readers_start_anew_they_are_not_sent_ever_less() {
+    let members: Vec<_> = (1..5).map(|h| member(h, 0)).chain([member(20, 1)]).collect();
+    let mut rig = Rig::new(settings(), &members);
+    // 20 requests a second; each that is admitted is served.
+    let mut play = |from: u64, to: u64| {
+        let mut sends = 0;
+        for id in from..to {
+            let mut out = rig.step(50 * MS, &[Event::Request(NewRequest { prefix: None, ..ask(id) })]);
+            while let Some((at, Action::Send { request, host, .. })) =
+                out.iter().enumerate().find(|(_, a)| matches!(a, Action::Send { host: HostId(1..5), .. }))
+            {
+                let (request, host) = (request.0, host.0);
+                sends += 1;
+                out.remove(at);
+                let read = rig.step(0, &[ended(request, host, Outcome::Read, false)]);
+                rig.step(0, &[began(request, 20), ended(request, 20, Outcome::Served, true)]);
+                out.extend(read);
+            }
+        }
+        if from == 0 {
+            let cold = |h| Member { started: Some(rig.now), ..member(h, 0) };
+            rig.step(0, &[Event::Hosts { whole: false, members: (1..5).map(cold).collect() }]);
+        }
+        sends
+    };
+    assert!(play(0, 600) > 500, "warm readers take all");
+    let (early, late) = (play(600, 700), play(700, 790));
+    // Their part is 3.0 x 0.3 x one half of what came to them when they were warm: 9 a second.
+    assert!(late >= 30, "{early} in the first 5 s, {late} in the next 4.5 s");
+    assert!(early <= 60 && late <= 60, "{early} in the first 5 s, {late} in the next 4.5 s");
+}
