--- a/src/logic.rs
+++ b/src/logic.rs
@@ -29,8 +29,8 @@
 const FADE: f64 = 6e6; // in which what is known of one host fades by half towards what is known of all
 const FLEET_FADE: f64 = 8e6; // and in which a mean over all hosts turns half towards a new sample
 const LENGTH_GUESS: f64 = 0.3; // share of the most tokens taken as the answer's length without a hint
-const LOW_GAP_LEAST: f64 = 5_000.0; // between the fleet's sends of the low tier, while they come in time...
-const LOW_GAP_MOST: f64 = 80_000.0; // ...and while they come late
+const LOW_GAP_LEAST: f64 = 25_000.0; // between the fleet's sends of the low tier to a reader, while in time...
+const LOW_GAP_MOST: f64 = 400_000.0; // ...and while they come late: more readers take more
 const READ_EXTRA: f64 = 300.0; // tokens added to each read for what does not depend on its length
 const READ_COST: f64 = 80.0; // to read one token, until reads have been seen
 const FIRST_TOOK: f64 = 100_000.0; // from a send to a writer to the first token, until some have been seen
@@ -433,8 +433,10 @@
     /// The low tier's sends are four times as far apart after one that came late, and half after one in time.
     fn low_went(&mut self, well: bool) {
         let gap = if well { self.low_gap / 2.0 } else { self.low_gap * 4.0 };
-        let routers = f64::from(self.set.routers.max(1));
-        self.low_gap = gap.clamp(LOW_GAP_LEAST * routers, LOW_GAP_MOST * routers);
+        let readers =
+            self.hosts.values().filter(|h| h.role != Role::Write && h.phase == Phase::Serving).count();
+        let turns = f64::from(self.set.routers.max(1)) / readers.max(1) as f64;
+        self.low_gap = gap.clamp(LOW_GAP_LEAST * turns, LOW_GAP_MOST * turns);
     }
 
     /// Admits a request: the writer counts it from now on, and its prompt is read.
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -405,3 +405,32 @@
     let out = rig.step(1_500 * MS, &[ended(1, READER, Outcome::Read, false)]);
     assert_eq!(sent_to(&out), Some(WRITER), "waiting gains it nothing: {out:?}");
 }
+
+#[test]
+fn in_a_large_fleet_the_low_tier_goes_on_after_one_that_came_late() {
+    let mut set = settings();
+    set.routers = 100;
+    let members: Vec<_> = (1..21).map(|h| member(h, 0)).chain([member(50, 1)]).collect();
+    let mut rig = Rig::new(set, &members);
+    // Past its aim from the start, but not past the client's patience.
+    let hopeless = |id| NewRequest { prompt_tokens: 40_000.0, time_left: 60 * S, ..ask(id) };
+    for id in 1..6 {
+        let reader = sent_to(&rig.step(10 * S, &[Event::Request(hopeless(id))])).expect("sent untested");
+        let read = match ended(id, reader, Outcome::Read, false) {
+            Event::Ended { request, attempt, host, outcome, last, kept, load, .. } => {
+                Event::Ended { request, attempt, host, outcome, last, kept, took: 4 * S, load }
+            }
+            other => other,
+        };
+        rig.step(4 * S, &[read]);
+        rig.step(0, &[began(id, 50), ended(id, 50, Outcome::Served, true)]);
+    }
+    assert!(sent_to(&rig.step(10 * S, &[Event::Request(hopeless(6))])).is_some());
+    rig.step(0, &[Event::Left(RequestId(6)), ended(6, 1, Outcome::Cancelled, true)]);
+    let mut out = rig.step(0, &[Event::Request(hopeless(7))]);
+    let since = rig.now;
+    while sent_to(&out).is_none() {
+        out = rig.tick(5 * MS);
+        assert!(rig.now < since + 3 * S, "100 routers and 20 readers: each router may use one every 2 s");
+    }
+}
