Try another cell after a writer stayed silent, where one there passes

The time-out of one writer was followed by tries at its neighbours, up to five in one request: what silences one, a jam or a loss, mostly has its cell.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -237,6 +237,8 @@
     /// Since when a state waits with no attempt out, and whether even the quickest writer would be past its aim.
     ready_since: Micros,
     late: bool,
+    /// The cell of a writer that stayed silent until its time was out.
+    silent: Option<CellId>,
     /// The first attempt that may have had its effect.
     may_have_run: Option<(HostId, Micros)>,
     over_share: bool,
@@ -621,10 +623,18 @@
             let near = |h: &Host| far || reader.is_none_or(|reader| reader.cell == h.cell);
             self.choose_writer(now, r, reader, 0.0, tested, near)
         };
+        // What silences one writer, a jam or a loss, mostly has its neighbours too: the next try is made elsewhere.
+        let elsewhere = || {
+            let away = |h: &Host| r.silent.is_some_and(|cell| cell != h.cell);
+            self.choose_writer(now, r, reader, 0.0, true, away)
+        };
         let same = |h: &Host| h.streams.contains(&r.ask.id);
         let admitted = self.choose_writer(now, r, reader, 0.0, true, same);
         let any = |tested| pick(tested, false).or_else(|| pick(tested, true));
-        admitted.or_else(|| any(true)).or_else(|| if held_for < READY_WAIT { None } else { any(false) })
+        admitted
+            .or_else(elsewhere)
+            .or_else(|| any(true))
+            .or_else(|| if held_for < READY_WAIT { None } else { any(false) })
     }
 
     // ---- Attempts and failures ----
@@ -736,6 +746,11 @@
             (_, Outcome::Moot) => self.give_up(id, out),
             _ => {
                 let ran = !matches!(outcome, Outcome::Full | Outcome::Unreachable);
+                if outcome == Outcome::TimedOut {
+                    r.silent = self.hosts.get(&at).map(|h| h.cell);
+                    self.unplace(id);
+                }
+                let Some(r) = self.requests.get_mut(&id) else { return };
                 if ran && r.may_have_run.is_none() {
                     r.may_have_run = Some((at, sent_at));
                 }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -434,3 +434,15 @@
         assert!(rig.now < since + 3 * S, "100 routers and 20 readers: each router may use one every 2 s");
     }
 }
+
+#[test]
+fn after_a_writer_stays_silent_the_next_try_is_made_in_another_cell() {
+    let near = [in_cell(READER, 0, 1), in_cell(10, 1, 1), in_cell(11, 1, 1), in_cell(13, 1, 1)];
+    for id in 1..9 {
+        let mut rig = Rig::new(settings(), &[&near[..], &[in_cell(12, 1, 2)]].concat());
+        rig.request(id);
+        let first = sent_to(&rig.end(id, READER, Outcome::Read)).expect("sent on");
+        let next = sent_to(&rig.end(id, first, Outcome::TimedOut)).expect("tried again");
+        assert!(first == 12 || next == 12, "after {first} its neighbour {next}");
+    }
+}
