--- a/src/logic.rs
+++ b/src/logic.rs
@@ -29,7 +29,7 @@
 const FADE: f64 = 6e6; // in which what is known of one host fades by half towards what is known of all
 const FLEET_FADE: f64 = 8e6; // and in which a mean over all hosts turns half towards a new sample
 const LENGTH_GUESS: f64 = 0.3; // share of the most tokens taken as the answer's length without a hint
-const LOW_GAP_LEAST: f64 = 25_000.0; // between the fleet's sends of the low tier to a reader, while in time...
+const LOW_GAP_LEAST: f64 = 25_000.0; // between the fleet's sends of the low tier to a reader, in time...
 const LOW_GAP_MOST: f64 = 400_000.0; // ...and while they come late: more readers take more
 const READ_EXTRA: f64 = 300.0; // tokens added to each read for what does not depend on its length
 const READ_COST: f64 = 80.0; // to read one token, until reads have been seen
@@ -56,7 +56,7 @@
 const READY_MOST: f64 = 0.8; // ...and after which it is let go
 const PROBE_EVERY: Micros = 700_000; // between probes of a writer: its reports are not much fresher...
 const PROBE_CALM: Micros = 2_800_000; // ...and while nothing had to wait, as each has its price
-const PROBERS: f64 = 4.0; // routers that probe as often as that; more take turns, as what a host bears is no more
+const PROBERS: f64 = 4.0; // routers that probe so often; more take turns, as a host bears no more
 const PRESSED: Micros = 5_000_000; // for which a wait or an attempt in vain counts as pressure
 const COLD_SHARE: f64 = 0.5; // of the cold budget in use: sends of many routers bunch by chance
 const SEEN_LEAST: f64 = 0.1; // part of a whole view of the arrivals that is believed: a second's worth
@@ -234,7 +234,7 @@
     /// Tokens to read at its reader when it was sent, its own among them.
     read_load: f64,
     from_low: bool,
-    /// Since when a state waits with no attempt out, and whether even the quickest writer would be past its aim.
+    /// Since when a state waits with no attempt out; whether even the quickest writer would be past its aim.
     ready_since: Micros,
     late: bool,
     /// The cell of a writer that stayed silent until its time was out.
@@ -623,7 +623,7 @@
             let near = |h: &Host| far || reader.is_none_or(|reader| reader.cell == h.cell);
             self.choose_writer(now, r, reader, 0.0, tested, near)
         };
-        // What silences one writer, a jam or a loss, mostly has its neighbours too: the next try is made elsewhere.
+        // What silences one writer, a jam or a loss, mostly has its neighbours: the next try is made elsewhere.
         let elsewhere = || {
             let away = |h: &Host| r.silent.is_some_and(|cell| cell != h.cell);
             self.choose_writer(now, r, reader, 0.0, true, away)
@@ -936,8 +936,8 @@
     }
 
     /// Rule 4: least time between own sends to a starting host, even within this router's part of the start
-    /// capacity, measured by what would come to a host of that role: what goes there shrinks with this very guard, and
-    /// a router that has just started has sent nothing yet. It may be far over the window.
+    /// capacity, measured by what would come to a host of that role: what goes there shrinks with this very
+    /// guard, and a router that has just started has sent nothing yet. It may be far over the window.
     fn cold_gap(&self, now: Micros, to: HostId) -> Micros {
         let Some(host) = self.hosts.get(&to) else { return 0 };
         let rules = &self.set.rules;
