--- a/src/logic.rs
+++ b/src/logic.rs
@@ -623,7 +623,7 @@
             let near = |h: &Host| far || reader.is_none_or(|reader| reader.cell == h.cell);
             self.choose_writer(now, r, reader, 0.0, tested, near)
         };
-        // What silences one writer, a jam or a loss, mostly has its neighbours: the next try is made elsewhere.
+        // What silences one writer, a jam or a loss, mostly has its neighbours: the next try goes elsewhere.
         let elsewhere = || {
             let away = |h: &Host| r.silent.is_some_and(|cell| cell != h.cell);
             self.choose_writer(now, r, reader, 0.0, true, away)
