--- a/src/logic.rs
+++ b/src/logic.rs
@@ -49,6 +49,8 @@
 const REST: Micros = 250_000; // for which a host rests after a failure, doubling with each further one...
 const REST_MOST: Micros = 2_000_000; // ...up to this, so that it is soon found when it is back
 const FAILS_RESTART: u32 = 3; // failures in a row after which a host that works again is taken for cold
+const STUCK: u32 = 2; // writers silent with the same state before its reader is held to blame...
+const STUCK_REST: Micros = 4_000_000; // ...and for how long nothing is read there: a jammed link drains slowly
 const SPOILT_MOST: u32 = 2; // answers in a row that cannot be read before the next counts as a failure
 const FULL_REST: Micros = 100_000; // for which a host that said "full" is left alone, at least...
 const FULL_MULTIPLE: Micros = 20; // ...and of the time that it took to say so
@@ -107,6 +109,8 @@
     phase: Phase,
     started: Option<Micros>,
     fails: u32,
+    /// Of a reader: until when nothing is read there, as writers could not fetch its states.
+    stuck_until: Micros,
     /// Answers in a row that could not be read.
     spoilt: u32,
     failed_at: Micros,
@@ -138,7 +142,7 @@
     fn takes(&self, now: Micros, ask: &NewRequest, rules: &Rules) -> bool {
         let warm_at = self.started.map_or(Micros::MIN, |at| at.saturating_add(rules.ramp_time));
         self.phase == Phase::Serving
-            && now >= self.rest_until
+            && now >= self.rest_until.max(self.stuck_until)
             && (self.fails == 0 || self.pending.is_empty())
             && (now >= warm_at || now >= self.next_cold)
             && self.full_until.get(&(ask.class, ask.tenant)).is_none_or(|&at| now >= at)
@@ -237,8 +241,9 @@
     /// Since when a state waits with no attempt out; whether even the quickest writer would be past its aim.
     ready_since: Micros,
     late: bool,
-    /// The cell of a writer that stayed silent until its time was out.
+    /// The cell of a writer that stayed silent until its time was out, and how many did with the same state.
     silent: Option<CellId>,
+    stuck: u32,
     /// The first attempt that may have had its effect.
     may_have_run: Option<(HostId, Micros)>,
     over_share: bool,
@@ -369,7 +374,7 @@
         let Some(r) = self.requests.get(&id) else { return };
         let home = self.homes(r, |h| h.phase == Phase::Serving).first().map(|h| h.id);
         let Some(r) = self.requests.get_mut(&id) else { return };
-        (r.reader, r.home, r.late) = (None, home, false);
+        (r.reader, r.home, r.late, r.stuck) = (None, home, false, 0);
         r.stage = if r.over_share { Stage::Low } else { Stage::High };
         let tier = if r.over_share { &mut self.low } else { &mut self.high };
         tier.insert((r.aim_at, id));
@@ -748,16 +753,22 @@
                 let ran = !matches!(outcome, Outcome::Full | Outcome::Unreachable);
                 if outcome == Outcome::TimedOut {
                     r.silent = self.hosts.get(&at).map(|h| h.cell);
+                    r.stuck += 1;
                     self.unplace(id);
                 }
                 let Some(r) = self.requests.get_mut(&id) else { return };
+                let stuck = r.stuck >= STUCK && r.sent + 2 <= self.set.limits.max_attempts;
+                if let Some(reader) = r.reader.filter(|_| stuck).and_then(|id| self.hosts.get_mut(&id)) {
+                    reader.stuck_until = now + STUCK_REST;
+                }
                 if ran && r.may_have_run.is_none() {
                     r.may_have_run = Some((at, sent_at));
                 }
                 if r.reader.is_none() {
                     self.hold(id);
-                } else if outcome == Outcome::Spoilt {
-                    // An answer had begun, so the state has moved: another writer would have none.
+                } else if outcome == Outcome::Spoilt || stuck {
+                    // An answer had begun, so the state has moved and another writer would have none; or nobody
+                    // can fetch it where it is.
                     out.push(Action::Release(id));
                     self.hold(id);
                 } else {
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -446,3 +446,21 @@
         assert!(first == 12 || next == 12, "after {first} its neighbour {next}");
     }
 }
+
+#[test]
+fn a_state_that_two_writers_could_not_fetch_is_read_anew_at_another_reader() {
+    let readers = [in_cell(1, 0, 1), in_cell(2, 0, 2)];
+    let writers = [in_cell(10, 1, 1), in_cell(11, 1, 2), in_cell(12, 1, 1), in_cell(13, 1, 2)];
+    let mut set = settings();
+    set.limits.max_attempts = 6;
+    let mut rig = Rig::new(set, &[&readers[..], &writers[..]].concat());
+    let first = sent_to(&rig.request(1)).expect("read");
+    let writer = sent_to(&rig.end(1, first, Outcome::Read)).expect("sent on");
+    let second = sent_to(&rig.end(1, writer, Outcome::TimedOut)).expect("tried elsewhere");
+    let out = rig.end(1, second, Outcome::TimedOut);
+    assert!(out.contains(&Action::Release(RequestId(1))), "{out:?}");
+    let again = sent_to(&out).expect("read anew");
+    assert!([1, 2].contains(&again) && again != first, "from {first} to {again}");
+    // The next request is spared it too.
+    assert_eq!(sent_to(&rig.request(2)), Some(again));
+}
