--- a/src/logic.rs
+++ b/src/logic.rs
@@ -50,7 +50,7 @@
 const REST_MOST: Micros = 2_000_000; // ...up to this, so that it is soon found when it is back
 const FAILS_RESTART: u32 = 3; // failures in a row after which a host that works again is taken for cold
 const STUCK: u32 = 2; // writers silent with the same state before its reader is held to blame...
-const STUCK_REST: Micros = 4_000_000; // ...and for how long nothing is read there: a jammed link drains slowly
+const STUCK_REST: Micros = 4_000_000; // ...and so long nothing is read there: a jammed link drains slowly
 const SPOILT_MOST: u32 = 2; // answers in a row that cannot be read before the next counts as a failure
 const FULL_REST: Micros = 100_000; // for which a host that said "full" is left alone, at least...
 const FULL_MULTIPLE: Micros = 20; // ...and of the time that it took to say so
@@ -767,7 +767,7 @@
                 if r.reader.is_none() {
                     self.hold(id);
                 } else if outcome == Outcome::Spoilt || stuck {
-                    // An answer had begun, so the state has moved and another writer would have none; or nobody
+                    // An answer had begun, so the state has moved: another writer would have none. Or nobody
                     // can fetch it where it is.
                     out.push(Action::Release(id));
                     self.hold(id);
