--- a/src/main.rs
+++ b/src/main.rs
@@ -23,6 +23,7 @@
 use tokio::signal::unix::Signal;
 use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local};
+use tracing_subscriber::filter::LevelFilter;
 
 /// How long a start waits for discovery before it serves by the list that it was given, which may be old.
 const DISCOVERY_WAIT: Duration = Duration::from_secs(5);
@@ -152,8 +153,14 @@
     Ok(())
 }
 
+/// How much is logged: as `RUST_LOG` says (`debug` follows each request), else what operators need.
+fn log_level() -> LevelFilter {
+    std::env::var("RUST_LOG").ok().and_then(|level| level.parse().ok()).unwrap_or(LevelFilter::INFO)
+}
+
 fn main() -> ExitCode {
-    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false).init();
+    let log = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false);
+    log.with_max_level(log_level()).init();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let ended = runtime.map_err(StartError::Io).and_then(|runtime| LocalSet::new().block_on(&runtime, run()));
     match ended {
--- a/src/node/release.rs
+++ b/src/node/release.rs
@@ -19,6 +19,7 @@
 pub async fn release(upstream: Rc<Upstream>, id: Rc<str>) {
     for host in upstream.pool().likeliest().into_iter().take(TRIES) {
         if let Ok(true) = timeout(EACH, upstream.release_at(host, &id)).await {
+            tracing::debug!("request {id}: released at host {}", host.0);
             return add(&upstream.counters().releases);
         }
         upstream.pool().distrust(host);
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -91,6 +91,7 @@
     /// Starts to let go of all that is held.
     fn release(&mut self) {
         if std::mem::take(&mut self.any) && self.core.upstream.holds() {
+            tracing::debug!("request {}: letting go of what is held", self.id);
             let call = release(self.core.upstream.clone(), self.id.clone());
             self.under_way = Some(tokio::task::spawn_local(call));
         }
@@ -117,6 +118,7 @@
     let counters = core.counters.clone();
     let mut held = Held { core: &core, id: payload.id.clone(), any: false, under_way: None };
     let whole = ask.whole;
+    tracing::debug!("request {}: taken, {} ms left", payload.id, ask.time_left / 1_000);
     let mut seat = core.planner.arrive(ask);
     let mut sent = 0;
     // The client needs no answer any more; the planner has been told so.
@@ -128,6 +130,7 @@
         let (host, time_out) = match next(&mut seat, &mut caller, overdue, over).await {
             Next::Order(Order::Send(host, time_out)) => (host, time_out),
             Next::Order(Order::Refuse(come_back)) => {
+                tracing::debug!("request {}: refused", payload.id);
                 if !over {
                     add(if caller.answer(Answer::Refused { come_back }) {
                         &counters.refused
@@ -150,6 +153,7 @@
             Next::Order(Order::Parted) => break,
             Next::Order(Order::Cancel(_) | Order::Move) => continue,
             Next::ClientLeft => {
+                tracing::debug!("request {}: its client left", payload.id);
                 add(&counters.left);
                 (over, _) = (true, seat.left());
                 continue;
@@ -165,9 +169,12 @@
         let attempt = AttemptId(sent);
         sent += 1;
         let begun = Instant::now();
+        let id = held.id.clone();
+        tracing::debug!("request {id}: attempt {} to host {}, {time_out} us", attempt.0, host.0);
         let ended = |outcome, last, kept, load| {
             core.counters.attempt_ended(outcome);
             let took = begun.elapsed().as_micros() as Micros;
+            tracing::debug!("request {id}: attempt {} ended {outcome:?} after {took} us", attempt.0);
             (outcome, last, End { kept, took, load })
         };
         if over {
