Count a state as waiting while connections to its writers do not come up

Ruled out: slow releases (each taken within 1 ms of being asked for), reads that timed out and left a state. Wrong lines: `ended` reset `ready_since` at every outcome, and `send_ready` asked for a writer before it looked at the limit.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -610,11 +610,13 @@
             self.requests.entry(id).and_modify(|r| r.late = start > r.aim_at);
             let r = &self.requests[&id];
             let held_for = (now - r.ready_since) as f64 / self.set.rules.pin_limit.max(1) as f64;
-            let spent = r.sent >= self.set.limits.max_attempts || now >= r.deadline - ANSWER_MARGIN;
+            let spent = r.sent >= self.set.limits.max_attempts
+                || now >= r.deadline - ANSWER_MARGIN
+                || held_for >= READY_MOST;
             if let Some(writer) = self.writer_for_state(now, r, held_for).filter(|_| !spent) {
                 self.place(id, writer);
                 self.send_write(now, id, writer, out);
-            } else if spent || held_for >= READY_MOST {
+            } else if spent {
                 // Guards the pin limit: nothing takes this state in time.
                 out.push(Action::Release(id));
                 self.hold(id);
@@ -772,7 +774,9 @@
                     out.push(Action::Release(id));
                     self.hold(id);
                 } else {
-                    (r.stage, r.ready_since) = (Stage::Ready, now);
+                    // While a connection does not come up no attempt is out: the state waited all along.
+                    let since = if outcome == Outcome::Unreachable { r.ready_since } else { now };
+                    (r.stage, r.ready_since) = (Stage::Ready, since);
                 }
             }
         }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -169,6 +169,24 @@
     }
 }
 
+#[test]
+fn rule_5_a_state_waits_on_while_connections_to_writers_do_not_come_up() {
+    let mut set = settings();
+    set.limits.max_attempts = 8;
+    let members: Vec<_> = [member(READER, 0)].into_iter().chain((10..18).map(|w| member(w, 1))).collect();
+    let mut rig = Rig::new(set, &members);
+    rig.request(1);
+    let mut out = rig.end(1, READER, Outcome::Read);
+    let read_at = rig.now;
+    while !out.contains(&Action::Release(RequestId(1))) {
+        out = match sent_to(&out) {
+            Some(writer) => rig.step(250 * MS, &[ended(1, writer, Outcome::Unreachable, false)]),
+            None => rig.tick(5 * MS),
+        };
+        assert!(rig.now < read_at + 800 * MS, "still held");
+    }
+}
+
 #[test]
 fn rule_1_a_request_of_no_known_class_is_refused_at_once() {
     let mut rig = Rig::new(settings(), &[member(READER, 0), member(WRITER, 1)]);
