Call discovery again within 4 s however large the fleet

The operators count a change as told 6 s after discovery had it and could be reached; `Backoff::wait` gave up to 15 s for large fleets, `at_start` up to 10 s, and a silent agent was waited for 4 s. A call may wait 2 s in turn, so 4 s remain.

--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -13,7 +13,7 @@
 use serde::Deserialize;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::counters::add;
@@ -25,20 +25,21 @@
 /// Silence after which a watch is given up: an empty line is due every 2 s. What it should have told counts as told
 /// 6 s later, so a new watch must be there well before.
 const SILENCE: Duration = Duration::from_millis(3_200);
-/// For discovery to take a connection and to answer. Calls wait in turn there and are told when they have waited too
-/// long: one that is given up sooner is still worked on, and the next only lengthens the queue.
+/// For discovery to take a connection and to answer where it is asked. Calls wait in turn there and are told when they
+/// have waited too long: one that is given up sooner is still worked on, and the next only lengthens the queue.
 const ANSWER: Duration = Duration::from_secs(4);
-/// Over which the first calls of a fleet are spread, for each of its conductors: where the list must be asked for,
+/// The same where an agent of this conductor's own is sent the list: it answers at once, or not before it is back.
+const AGENT_ANSWER: Duration = Duration::from_secs(1);
+/// Over which the calls of a fleet are spread, for each of its conductors: where the list must be asked for,
 /// discovery is one service for all that has been seen to take 55 ms for a call and to let none wait over 2 s.
-const START_EACH: Duration = Duration::from_millis(40);
-/// Before the first further try, at least...
+const CALL_EACH: Duration = Duration::from_millis(40);
+/// Within which the first further try falls, however small the fleet.
 const AGAIN_LEAST: Duration = Duration::from_millis(250);
-/// ...and for each conductor of the fleet: what ends one watch mostly ends all.
-const AGAIN_EACH: Duration = Duration::from_millis(30);
 /// How often the wait doubles while tries fail.
 const DOUBLINGS: u32 = 2;
-/// Longest wait however large the fleet: what drains has to be heard of.
-const AGAIN_MOST: Duration = Duration::from_secs(10);
+/// Longest from one call to the next, however large the fleet: what changes counts as told 6 s after discovery had it
+/// and could be reached, and of these a call may wait 2 s in turn.
+const AGAIN_MOST: Duration = Duration::from_secs(4);
 /// Longest line or list that is read.
 const MOST: usize = 4 * 1024 * 1024;
 
@@ -103,6 +104,8 @@
     spread: Duration,
     first: Duration,
     failed: u32,
+    /// The next call comes after something that mostly meets the whole fleet in the same moment.
+    together: bool,
     seed: u64,
     drawn: u64,
 }
@@ -110,9 +113,9 @@
 impl Backoff {
     /// For one of so many conductors that share discovery; each has a seed of its own.
     pub fn new(conductors: u32, seed: u64) -> Self {
-        let spread = (START_EACH * conductors).min(AGAIN_MOST);
-        let first = (AGAIN_EACH * conductors).clamp(AGAIN_LEAST, AGAIN_MOST);
-        Backoff { spread, first, failed: 0, seed, drawn: 0 }
+        let spread = (CALL_EACH * conductors).min(AGAIN_MOST);
+        let first = (CALL_EACH * conductors).clamp(AGAIN_LEAST, AGAIN_MOST);
+        Backoff { spread, first, failed: 0, together: true, seed, drawn: 0 }
     }
 
     /// A number from 0 to 1, each time another one.
@@ -124,19 +127,22 @@
     /// The wait before the first call of a conductor that starts with a list and can serve by it meanwhile: a fleet
     /// that starts or restarts together must not ask together.
     pub fn at_start(&mut self) -> Duration {
+        self.together = false;
         self.spread.mul_f64(self.draw())
     }
 
-    /// The wait after one more failure, drawn evenly from half to one and a half times what is due.
+    /// The wait after one more failure: drawn from all that is due where the fleet failed together, as when its watches
+    /// end, else from the second half of it, as discovery is crowded.
     pub fn wait(&mut self) -> Duration {
         let due = (self.first * 2u32.pow(self.failed)).min(AGAIN_MOST);
+        let least = if std::mem::take(&mut self.together) { 0.0 } else { 0.5 };
         self.failed = (self.failed + 1).min(DOUBLINGS);
-        due.mul_f64(0.5 + self.draw())
+        due.mul_f64(least + (1.0 - least) * self.draw())
     }
 
     /// Discovery answers: the next failure is a first one.
     pub fn answered(&mut self) {
-        self.failed = 0;
+        (self.failed, self.together) = (0, true);
     }
 }
 
@@ -149,15 +155,18 @@
     ids: HashMap<String, HostId>,
     version: Option<u64>,
     backoff: Backoff,
+    /// For discovery to answer a call.
+    patience: Duration,
 }
 
 impl Directory {
     /// An empty directory.
     pub fn new(core: Core, settings: Settings, names: Names, clock: Clock, seed: u64) -> Self {
         // An agent that is sent the list by itself answers at no cost; nobody else waits for it.
-        let sharing = if settings.ask_for_list { settings.routers } else { 1 };
+        let (sharing, patience) =
+            if settings.ask_for_list { (settings.routers, ANSWER) } else { (1, AGENT_ANSWER) };
         let backoff = Backoff::new(sharing, seed);
-        Directory { core, settings, names, clock, ids: HashMap::new(), version: None, backoff }
+        Directory { core, settings, names, clock, ids: HashMap::new(), version: None, backoff, patience }
     }
 
     /// The same number for the same id at every conductor, whatever its order among the rest.
@@ -233,12 +242,14 @@
             }
             let addr = *address.borrow_and_update();
             add(&self.core.counters.watches);
-            let wait;
+            let mut since = Instant::now();
+            let again;
             tokio::select! {
-                ended = self.watch(addr, &told) => {
+                ended = self.watch(addr, &told, &mut since) => {
                     let ended = ended.err().unwrap_or(WatchError::Ended);
                     self.core.planner.hosts_failed();
-                    wait = self.backoff.wait();
+                    again = since + self.backoff.wait();
+                    let wait = again.saturating_duration_since(Instant::now());
                     tracing::warn!("discovery: watch lost, {ended}; trying again in {} ms", wait.as_millis());
                 }
                 Ok(()) = address.changed() => {
@@ -247,21 +258,25 @@
                 }
             }
             tokio::select! {
-                () = sleep(wait) => {}
+                () = sleep_until(again) => {}
                 Ok(()) = address.changed() => address.mark_changed(),
             }
         }
     }
 
-    async fn watch(&mut self, addr: SocketAddr, told: &watch::Sender<bool>) -> Result<(), WatchError> {
+    /// One watch, to its end; `since` is set to that end, or to when it was last heard if it fell silent: what it missed
+    /// from then on is as good as told.
+    async fn watch(
+        &mut self, addr: SocketAddr, told: &watch::Sender<bool>, since: &mut Instant,
+    ) -> Result<(), WatchError> {
         // The list that came with the configuration may be old, and the watch begins with what it has missed. A whole
         // list costs discovery work by the line: a fleet that starts together and asks for it keeps all from hearing.
-        let since = match self.version {
+        let version = match self.version {
             Some(version) => version,
             None => {
-                let mut body = get(addr, "/api/targets").await?;
+                let mut body = get(addr, "/api/targets", self.patience).await?;
                 let mut text = BytesMut::new();
-                while let Some(part) = piece(&mut body, ANSWER).await? {
+                while let Some(part) = piece(&mut body, self.patience).await? {
                     text.extend_from_slice(&part);
                     if text.len() > MOST {
                         return Err(WatchError::TooLong);
@@ -273,9 +288,12 @@
                 list.version
             }
         };
-        let mut body = get(addr, &format!("/api/targets?follow=1&since={since}")).await?;
-        let mut text = BytesMut::new();
-        while let Some(part) = piece(&mut body, SILENCE).await? {
+        let mut body = get(addr, &format!("/api/targets?follow=1&since={version}"), self.patience).await?;
+        let (mut text, mut heard) = (BytesMut::new(), Instant::now());
+        while let Some(part) = piece(&mut body, SILENCE).await.inspect_err(|fault| {
+            *since = if matches!(fault, WatchError::Silent) { heard } else { Instant::now() };
+        })? {
+            heard = Instant::now();
             self.backoff.answered();
             told.send_replace(true);
             text.extend_from_slice(&part);
@@ -289,11 +307,12 @@
                 return Err(WatchError::TooLong);
             }
         }
+        *since = Instant::now();
         Ok(())
     }
 }
 
-async fn get(addr: SocketAddr, path: &str) -> Result<Incoming, WatchError> {
+async fn get(addr: SocketAddr, path: &str, within: Duration) -> Result<Incoming, WatchError> {
     let exchange = async {
         let socket = TcpStream::connect(addr).await.map_err(WatchError::Connect)?;
         let (mut sender, connection) = http1::handshake(TokioIo::new(socket)).await?;
@@ -307,7 +326,7 @@
             other => Err(WatchError::Status(other)),
         }
     };
-    timeout(ANSWER, exchange).await.unwrap_or(Err(WatchError::Silent))
+    timeout(within, exchange).await.unwrap_or(Err(WatchError::Silent))
 }
 
 async fn piece(body: &mut Incoming, within: Duration) -> Result<Option<Bytes>, WatchError> {
