Send nothing for a client that left while a connection was awaited

Where the settings forbid withdrawals, `attempt_at` went on polling the exchange after `Left`, which then wrote the request as soon as the pool had room; and `live` waited for a release before a further read without looking at the client. Ruled out: requests held in the module, which forgets them at once.

The test holds the pool's only connection, lets the client leave and frees it: `POST /v1/chat/completions` reached the instance before, nothing does now.

--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -1,5 +1,6 @@
 //! One exchange with an instance, in the dialect that the fleet speaks, told in the module's terms.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -42,6 +43,21 @@
     pub body: Bytes,
 }
 
+/// How far an attempt has come, as the request's life and the exchange see it.
+#[derive(Default)]
+pub struct Progress {
+    writing: Cell<bool>,
+    unwanted: Cell<bool>,
+}
+
+impl Progress {
+    /// Nobody wants the answer any more: the request must not be written from now on. Whether that has begun.
+    pub fn unwanted(&self) -> bool {
+        self.unwanted.set(true);
+        self.writing.get()
+    }
+}
+
 /// What an attempt came to before any event was passed on.
 pub enum First {
     /// The stream has begun.
@@ -131,11 +147,11 @@
     /// Sends the request to a host and waits until `until` for what it comes to. Dropping the future gives the
     /// attempt up: its connection closes.
     pub async fn first(
-        self: &Rc<Self>, host: HostId, payload: &Payload, until: Instant,
+        self: &Rc<Self>, host: HostId, payload: &Payload, until: Instant, progress: &Progress,
     ) -> (First, Option<Load>) {
         add(&self.counters.attempts);
         let (begun, mut written) = (Instant::now(), None);
-        match timeout_at(until, self.exchange(host, payload, until, &mut written)).await {
+        match timeout_at(until, self.exchange(host, payload, until, (&mut written, progress))).await {
             Ok((First::Ended(outcome), load)) => {
                 if matches!(outcome, Outcome::Unreachable | Outcome::Broken) {
                     self.pool.distrust(host);
@@ -152,14 +168,21 @@
     }
 
     async fn exchange(
-        self: &Rc<Self>, host: HostId, payload: &Payload, until: Instant, written: &mut Option<WriteMark>,
+        self: &Rc<Self>, host: HostId, payload: &Payload, until: Instant,
+        (written, progress): (&mut Option<WriteMark>, &Progress),
     ) -> (First, Option<Load>) {
         let ended = |outcome| (First::Ended(outcome), None);
         let (connection, response) = loop {
             *written = None;
+            progress.writing.set(false);
             let Ok(mut connection) = self.pool.connection(host).await else {
                 return ended(Outcome::Unreachable);
             };
+            if progress.unwanted.get() {
+                self.pool.keep(host, connection);
+                return ended(Outcome::Moot);
+            }
+            progress.writing.set(true);
             let (body, mark) = connection.body(payload.body.clone());
             *written = Some(mark.clone());
             let mut request = Request::new(body);
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -7,7 +7,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep_until, timeout};
 
-use super::attempt::{First, Payload};
+use super::attempt::{First, Payload, Progress};
 use super::counters::add;
 use super::events::Form;
 use super::planner::{End, Order, Seat};
@@ -101,12 +101,12 @@
     /// new state. It is done, or its connection closed, before the read is sent.
     async fn settle(&mut self) {
         self.release();
-        if let Some(mut call) = self.under_way.take()
-            && timeout(RELEASE_FIRST, &mut call).await.is_err()
-        {
+        let Some(call) = &mut self.under_way else { return };
+        if timeout(RELEASE_FIRST, &mut *call).await.is_err() {
             call.abort();
             self.any = true;
         }
+        self.under_way = None;
     }
 }
 
@@ -186,7 +186,17 @@
         // 2. The attempt, until it ends, is withdrawn, or its stream begins.
         let reader = core.upstream.reads(host);
         if reader {
-            held.settle().await;
+            tokio::select! {
+                () = held.settle() => {}
+                () = caller.left() => {
+                    tracing::debug!("request {}: its client left", payload.id);
+                    add(&counters.left);
+                    seat.left();
+                    let (outcome, last, end) = ended(Outcome::Moot, true, 0.0, None);
+                    seat.ended(attempt, host, outcome, last, end);
+                    break;
+                }
+            }
         }
         let until = (begun + span(time_out)).min(deadline);
         let (first, load) =
@@ -266,11 +276,12 @@
     caller: &mut Caller, over: &mut bool, overdue: Instant,
 ) -> (First, Option<Load>) {
     let withdrawn = (First::Ended(Outcome::Cancelled), None);
-    let first = core.upstream.first(host, payload, until);
+    let progress = Progress::default();
+    let first = core.upstream.first(host, payload, until, &progress);
     tokio::pin!(first);
     loop {
         tokio::select! {
-            done = &mut first => return done,
+            biased;
             next = next(seat, caller, overdue, *over) => match next {
                 Next::Order(Order::Cancel(which)) if which == attempt => return withdrawn,
                 Next::Order(order @ (Order::Refuse(_) | Order::Fail)) => {
@@ -288,11 +299,17 @@
                 }
                 Next::Order(_) => {}
                 Next::ClientLeft | Next::Overdue => {
+                    tracing::debug!("request {}: its client left", payload.id);
                     add(&core.counters.left);
                     *over = true;
                     seat.left();
+                    // An instance need not take a withdrawal; what it has not been sent it is spared all the same.
+                    if !progress.unwanted() {
+                        return (First::Ended(Outcome::Moot), None);
+                    }
                 }
             },
+            done = &mut first => return done,
         }
     }
 }
