--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -118,7 +118,13 @@
     let counters = core.counters.clone();
     let mut held = Held { core: &core, id: payload.id.clone(), any: false, under_way: None };
     let whole = ask.whole;
-    tracing::debug!("request {}: taken, {} ms left", payload.id, ask.time_left / 1_000);
+    tracing::debug!(
+        "request {}: taken, {} tokens, {} of them shared, {} ms left",
+        payload.id,
+        ask.prompt_tokens,
+        ask.prefix_tokens,
+        ask.time_left / 1_000
+    );
     let mut seat = core.planner.arrive(ask);
     let mut sent = 0;
     // The client needs no answer any more; the planner has been told so.
@@ -174,7 +180,10 @@
         let ended = |outcome, last, kept, load| {
             core.counters.attempt_ended(outcome);
             let took = begun.elapsed().as_micros() as Micros;
-            tracing::debug!("request {id}: attempt {} ended {outcome:?} after {took} us", attempt.0);
+            tracing::debug!(
+                "request {id}: attempt {} ended {outcome:?} after {took} us, {kept} kept",
+                attempt.0
+            );
             (outcome, last, End { kept, took, load })
         };
         if over {
@@ -229,7 +238,9 @@
         held.any = false;
         if !whole {
             // A whole answer tells nothing of the time to a first token.
-            seat.began(attempt, host, begun.elapsed().as_micros() as Micros);
+            let took = begun.elapsed().as_micros() as Micros;
+            tracing::debug!("request {}: attempt {} began after {took} us", held.id, attempt.0);
+            seat.began(attempt, host, took);
         }
         let (pieces, receiver) = mpsc::channel(relay::WAITING);
         let form = events.form().clone();
