--- a/src/logic.rs
+++ b/src/logic.rs
@@ -32,7 +32,8 @@
 const LOW_GAP_LEAST: f64 = 25_000.0; // between the fleet's sends of the low tier to a reader, in time...
 const LOW_GAP_MOST: f64 = 400_000.0; // ...and while they come late: more readers take more
 const READ_EXTRA: f64 = 300.0; // tokens added to each read for what does not depend on its length
-const READ_COST: f64 = 80.0; // to read one token, until reads have been seen
+const READ_COST: f64 = 80.0; // to read one token, until reads have been seen...
+const COST_GAIN: [f64; 2] = [0.02, 0.25]; // ...and of what a slower and a quicker read then count: reads also wait
 const FIRST_TOOK: f64 = 100_000.0; // from a send to a writer to the first token, until some have been seen
 const HOST_GAIN: f64 = 0.25; // weight of a new sample in a host's mean: a few requests tell
 const FLEET_GAIN: f64 = 0.05; // and in the fleet's
@@ -120,7 +121,8 @@
     probed_at: Micros,
     /// Attempts without a first answer, by the time they were sent.
     pending: BTreeMap<RequestId, Micros>,
-    read_cost: Fading,
+    /// What reads take there beyond their own tokens: others' reads come before them.
+    read_wait: Fading,
     /// Share of its states that its cell's writers can take, and of its writing left to other cells.
     stay: f64,
     spare: f64,
@@ -262,7 +264,9 @@
     low: BTreeSet<(Micros, RequestId)>,
     curves: Vec<Curve>,
     quotas: Vec<Fading>,
-    read_cost: Fading,
+    /// To read one token where nothing waits, and the mean wait before a read.
+    read_cost: f64,
+    read_wait: Fading,
     first_took: Fading,
     /// Means: a request's tokens, others' share of a writer's memory, the share of a prompt kept at its home.
     footprint: f64,
@@ -287,7 +291,8 @@
         Router {
             curves: vec![Curve::default(); settings.kinds.len()],
             quotas: vec![Fading { value: f64::MAX, at: 0 }; settings.tenants.len()],
-            read_cost: Fading { value: READ_COST, at: Micros::MIN / 2 },
+            read_cost: READ_COST,
+            read_wait: Fading { value: 0.0, at: Micros::MIN / 2 },
             first_took: Fading { value: FIRST_TOOK, at: Micros::MIN / 2 },
             salt: seed,
             set: settings,
@@ -594,8 +599,9 @@
 
     /// Time in which a reader would have read this prompt, after the own reads before it.
     fn read_time(&self, now: Micros, host: &Host, r: &Request) -> f64 {
-        let cost = host.read_cost.get(now, self.read_cost.value) / host.warmth(now, &self.set.rules);
-        ((self.reading(host) + self.unread_at(host, r) + READ_EXTRA) * cost).max(host.oldest_pending(now))
+        let cost = self.read_cost / host.warmth(now, &self.set.rules);
+        let wait = host.read_wait.get(now, self.read_wait.value);
+        (wait + (self.reading(host) + self.unread_at(host, r) + READ_EXTRA) * cost).max(host.oldest_pending(now))
     }
 
     /// Sends on the states that wait: to the admitted writer if it still passes, else to another.
@@ -693,8 +699,9 @@
         if r.reader.is_some() {
             return self.first_token(now, at, took);
         }
-        host.read_cost.learn(now, self.read_cost.value, took as f64 / (r.unread + READ_EXTRA), HOST_GAIN);
         host.kept.extend(r.ask.prefix.map(|key| (key, r.ask.prefix_tokens)));
+        let tokens = r.unread + READ_EXTRA;
+        self.learn_read(now, at, tokens, took as f64);
     }
 
     /// A first token took this long, or longer when the attempt timed out.
@@ -793,12 +800,21 @@
         self.curves[host.kind.0].learn(load, r.tokens, (now - r.begun) as f64);
     }
 
-    /// A read took this long, or longer, for all the own tokens up to it: others' reads show in the cost.
+    /// A read took this long, or longer, for all the own tokens up to it. What it took beyond them was a wait for
+    /// others' reads, which a longer prompt would not have had to pay again.
     fn read_took(&mut self, now: Micros, id: RequestId, at: HostId, unread: f64, took: Micros) {
-        let (Some(r), Some(host)) = (self.requests.get(&id), self.hosts.get_mut(&at)) else { return };
-        let cost = took as f64 / (r.read_load - r.unread + unread).max(READ_EXTRA);
-        host.read_cost.learn(now, self.read_cost.value, cost, HOST_GAIN);
-        self.read_cost.follow(now, cost);
+        let Some(r) = self.requests.get(&id) else { return };
+        self.learn_read(now, at, (r.read_load - r.unread + unread).max(READ_EXTRA), took as f64);
+    }
+
+    fn learn_read(&mut self, now: Micros, at: HostId, tokens: f64, took: f64) {
+        let Some(host) = self.hosts.get_mut(&at) else { return };
+        let warmth = host.warmth(now, &self.set.rules);
+        let cost = took * warmth / tokens;
+        self.read_cost += COST_GAIN[usize::from(cost < self.read_cost)] * (cost - self.read_cost);
+        let wait = (took - tokens * self.read_cost / warmth).max(0.0);
+        host.read_wait.learn(now, self.read_wait.value, wait, HOST_GAIN);
+        self.read_wait.follow(now, wait);
     }
 
     fn was_read(&mut self, now: Micros, id: RequestId, at: HostId, kept: f64, took: Micros) {
