--- a/src/logic.rs
+++ b/src/logic.rs
@@ -66,6 +66,9 @@
 const QUOTA_SLACK: f64 = 1.25; // multiple of an even part of a quota let through: traffic is not even
 const QUOTA_BURST: f64 = 2e6; // of quota that may be used at once
 const ANSWER_MARGIN: Micros = 10_000; // before the deadline at which what is held is answered
+const ASKED: usize = 3; // readers asked for each prompt: two or three choices level nearly all of the load
+const FRESH: Micros = 100_000; // for which what a reader said of its backlog is taken for its state
+const ASK_WAIT: Micros = 20_000; // for which an answer is waited for
 const FOLLOW_AGAIN: Micros = 1_000_000; // between tries to follow the list of hosts
 
 // ---- Fleet view ----
@@ -131,6 +134,8 @@
     first_took: Fading,
     /// Tokens that others hold, from the reports.
     others: Option<Fading>,
+    /// Of a reader: tokens that waited to be read there, and when it said so.
+    backlog: (f64, Micros),
 }
 
 impl Host {
@@ -252,6 +257,9 @@
     /// Ended for the client; only an outcome is still awaited.
     ended: bool,
     begun: Micros,
+    /// Readers asked how much waits there, until when their answers are waited for.
+    asked: Vec<HostId>,
+    asked_until: Micros,
 }
 
 /// One router's decisions.
@@ -325,7 +333,10 @@
                 self.ended(now, *request, *host, (*outcome, *last, *kept, *took), out);
             }
             Event::Left(request) => self.left(*request, out),
-            Event::Probed { host, load, .. } => self.report(now, *host, load.as_ref()),
+            Event::Probed { host, load, .. } => {
+                self.report(now, *host, load.as_ref());
+                self.requests.values_mut().for_each(|r| r.asked.retain(|at| at != host));
+            }
             Event::Place { .. } => {}
             Event::Timer(_) => self.wake_at = None,
         }
@@ -360,6 +371,26 @@
         };
         self.requests.insert(ask.id, request);
         self.hold(ask.id);
+        self.ask_readers(now, ask.id, out);
+    }
+
+    /// Asks the likeliest readers of a prompt how much waits there, as other routers send there unseen.
+    fn ask_readers(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
+        if !self.set.limits.probes || self.set.routers < 2 {
+            return;
+        }
+        let r = &self.requests[&id];
+        let homes = self.homes(r, |h| h.takes(now, &r.ask, &self.set.rules));
+        let stale = homes.iter().take(ASKED).filter(|h| now >= h.backlog.1 + FRESH).map(|h| h.id);
+        let stale: Vec<_> = stale.collect();
+        if homes.len() < 2 { return; }
+        for &at in &stale {
+            if self.hosts.get(&at).is_some_and(|h| now >= h.probed_at + FRESH) {
+                self.hosts.entry(at).and_modify(|h| h.probed_at = now);
+                out.push(Action::Probe(at));
+            }
+        }
+        self.requests.entry(id).and_modify(|r| (r.asked, r.asked_until) = (stale, now + ASK_WAIT));
     }
 
     /// Whether this request goes beyond this router's part of its tenant's quota.
@@ -422,6 +453,10 @@
             let mut window: Vec<_> = self.high.iter().take(WINDOW).copied().collect();
             let dice = |key: &(Micros, RequestId)| chance(now as u32, key.1.0 ^ self.salt);
             window.sort_by(|a, b| dice(a).total_cmp(&dice(b)));
+            window.retain(|key| {
+                let r = &self.requests[&key.1];
+                r.asked.is_empty() || now >= r.asked_until
+            });
             let passes = |key: &(Micros, RequestId)| Some((*key, self.pair(now, key.1, true)?));
             let Some((key, (reader, writer))) = window.iter().find_map(passes) else { break };
             self.high.remove(&key);
@@ -520,7 +555,8 @@
         let r = self.requests.get(&id)?;
         // The home reader, else the next home that passes; a read and a write must both be left.
         let may_read = r.sent + 2 <= self.set.limits.max_attempts;
-        let homes = self.homes(r, |h| may_read && h.takes(now, &r.ask, &self.set.rules));
+        let mut homes = self.homes(r, |h| may_read && h.takes(now, &r.ask, &self.set.rules));
+        homes.sort_by(|a, b| self.read_time(now, a, r).total_cmp(&self.read_time(now, b, r)));
         let paired = homes.iter().find_map(|at| {
             let ready_in = self.read_time(now, at, r) * READ_MARGIN;
             let pick =
@@ -600,7 +636,8 @@
     /// Time in which a reader would have read this prompt, after the own reads before it.
     fn read_time(&self, now: Micros, host: &Host, r: &Request) -> f64 {
         let cost = self.read_cost / host.warmth(now, &self.set.rules);
-        let wait = host.read_wait.get(now, self.read_wait.value);
+        let told = host.backlog.0 * cost - (now - host.backlog.1) as f64;
+        let wait = if now < host.backlog.1 + 1_000_000 { told.max(0.0) } else { host.read_wait.get(now, self.read_wait.value) };
         (wait + (self.reading(host) + self.unread_at(host, r) + READ_EXTRA) * cost).max(host.oldest_pending(now))
     }
 
@@ -983,6 +1020,9 @@
 
     /// What others hold of a writer's memory, from its report; absurd reports are passed over.
     fn report(&mut self, now: Micros, at: HostId, load: Option<&Load>) {
+        if let (Some(host), Some(tokens)) = (self.hosts.get_mut(&at), load.and_then(|l| l.waiting_tokens)) {
+            host.backlog = (tokens.clamp(0.0, 1e7), now);
+        }
         let host = self.hosts.get(&at).filter(|h| h.role != Role::Read && h.memory.is_finite());
         let share = load.and_then(|load| load.memory).filter(|share| (0.0..=2.0).contains(share));
         let (Some(host), Some(share)) = (host, share) else { return };
