--- a/src/logic.rs
+++ b/src/logic.rs
@@ -32,7 +32,8 @@
 const LOW_GAP_LEAST: f64 = 25_000.0; // between the fleet's sends of the low tier to a reader, in time...
 const LOW_GAP_MOST: f64 = 400_000.0; // ...and while they come late: more readers take more
 const READ_EXTRA: f64 = 300.0; // tokens added to each read for what does not depend on its length
-const READ_COST: f64 = 80.0; // to read one token, until reads have been seen
+const READ_COST: f64 = 80.0; // to read one token, until reads have been seen...
+const COST_GAIN: [f64; 2] = [0.02, 0.25]; // ...and of what a slower and a quicker read then count: reads also wait
 const FIRST_TOOK: f64 = 100_000.0; // from a send to a writer to the first token, until some have been seen
 const HOST_GAIN: f64 = 0.25; // weight of a new sample in a host's mean: a few requests tell
 const FLEET_GAIN: f64 = 0.05; // and in the fleet's
@@ -65,6 +66,9 @@
 const QUOTA_SLACK: f64 = 1.25; // multiple of an even part of a quota let through: traffic is not even
 const QUOTA_BURST: f64 = 2e6; // of quota that may be used at once
 const ANSWER_MARGIN: Micros = 10_000; // before the deadline at which what is held is answered
+const ASKED: usize = 3; // readers asked for each prompt: two or three choices level nearly all of the load
+const FRESH: Micros = 100_000; // for which what a reader said of its backlog is taken for its state
+const ASK_WAIT: Micros = 20_000; // for which an answer is waited for
 const FOLLOW_AGAIN: Micros = 1_000_000; // between tries to follow the list of hosts
 
 // ---- Fleet view ----
@@ -120,7 +124,8 @@
     probed_at: Micros,
     /// Attempts without a first answer, by the time they were sent.
     pending: BTreeMap<RequestId, Micros>,
-    read_cost: Fading,
+    /// What reads take there beyond their own tokens: others' reads come before them.
+    read_wait: Fading,
     /// Share of its states that its cell's writers can take, and of its writing left to other cells.
     stay: f64,
     spare: f64,
@@ -129,6 +134,8 @@
     first_took: Fading,
     /// Tokens that others hold, from the reports.
     others: Option<Fading>,
+    /// Of a reader: tokens that waited to be read there, and when it said so.
+    backlog: (f64, Micros),
 }
 
 impl Host {
@@ -250,6 +257,9 @@
     /// Ended for the client; only an outcome is still awaited.
     ended: bool,
     begun: Micros,
+    /// Readers asked how much waits there, until when their answers are waited for.
+    asked: Vec<HostId>,
+    asked_until: Micros,
 }
 
 /// One router's decisions.
@@ -262,7 +272,9 @@
     low: BTreeSet<(Micros, RequestId)>,
     curves: Vec<Curve>,
     quotas: Vec<Fading>,
-    read_cost: Fading,
+    /// To read one token where nothing waits, and the mean wait before a read.
+    read_cost: f64,
+    read_wait: Fading,
     first_took: Fading,
     /// Means: a request's tokens, others' share of a writer's memory, the share of a prompt kept at its home.
     footprint: f64,
@@ -287,7 +299,8 @@
         Router {
             curves: vec![Curve::default(); settings.kinds.len()],
             quotas: vec![Fading { value: f64::MAX, at: 0 }; settings.tenants.len()],
-            read_cost: Fading { value: READ_COST, at: Micros::MIN / 2 },
+            read_cost: READ_COST,
+            read_wait: Fading { value: 0.0, at: Micros::MIN / 2 },
             first_took: Fading { value: FIRST_TOOK, at: Micros::MIN / 2 },
             salt: seed,
             set: settings,
@@ -320,7 +333,10 @@
                 self.ended(now, *request, *host, (*outcome, *last, *kept, *took), out);
             }
             Event::Left(request) => self.left(*request, out),
-            Event::Probed { host, load, .. } => self.report(now, *host, load.as_ref()),
+            Event::Probed { host, load, .. } => {
+                self.report(now, *host, load.as_ref());
+                self.requests.values_mut().for_each(|r| r.asked.retain(|at| at != host));
+            }
             Event::Place { .. } => {}
             Event::Timer(_) => self.wake_at = None,
         }
@@ -355,6 +371,26 @@
         };
         self.requests.insert(ask.id, request);
         self.hold(ask.id);
+        self.ask_readers(now, ask.id, out);
+    }
+
+    /// Asks the likeliest readers of a prompt how much waits there, as other routers send there unseen.
+    fn ask_readers(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
+        if !self.set.limits.probes || self.set.routers < 2 {
+            return;
+        }
+        let r = &self.requests[&id];
+        let homes = self.homes(r, |h| h.takes(now, &r.ask, &self.set.rules));
+        let stale = homes.iter().take(ASKED).filter(|h| now >= h.backlog.1 + FRESH).map(|h| h.id);
+        let stale: Vec<_> = stale.collect();
+        if homes.len() < 2 { return; }
+        for &at in &stale {
+            if self.hosts.get(&at).is_some_and(|h| now >= h.probed_at + FRESH) {
+                self.hosts.entry(at).and_modify(|h| h.probed_at = now);
+                out.push(Action::Probe(at));
+            }
+        }
+        self.requests.entry(id).and_modify(|r| (r.asked, r.asked_until) = (stale, now + ASK_WAIT));
     }
 
     /// Whether this request goes beyond this router's part of its tenant's quota.
@@ -417,6 +453,10 @@
             let mut window: Vec<_> = self.high.iter().take(WINDOW).copied().collect();
             let dice = |key: &(Micros, RequestId)| chance(now as u32, key.1.0 ^ self.salt);
             window.sort_by(|a, b| dice(a).total_cmp(&dice(b)));
+            window.retain(|key| {
+                let r = &self.requests[&key.1];
+                r.asked.is_empty() || now >= r.asked_until
+            });
             let passes = |key: &(Micros, RequestId)| Some((*key, self.pair(now, key.1, true)?));
             let Some((key, (reader, writer))) = window.iter().find_map(passes) else { break };
             self.high.remove(&key);
@@ -515,7 +555,8 @@
         let r = self.requests.get(&id)?;
         // The home reader, else the next home that passes; a read and a write must both be left.
         let may_read = r.sent + 2 <= self.set.limits.max_attempts;
-        let homes = self.homes(r, |h| may_read && h.takes(now, &r.ask, &self.set.rules));
+        let mut homes = self.homes(r, |h| may_read && h.takes(now, &r.ask, &self.set.rules));
+        homes.sort_by(|a, b| self.read_time(now, a, r).total_cmp(&self.read_time(now, b, r)));
         let paired = homes.iter().find_map(|at| {
             let ready_in = self.read_time(now, at, r) * READ_MARGIN;
             let pick =
@@ -594,8 +635,10 @@
 
     /// Time in which a reader would have read this prompt, after the own reads before it.
     fn read_time(&self, now: Micros, host: &Host, r: &Request) -> f64 {
-        let cost = host.read_cost.get(now, self.read_cost.value) / host.warmth(now, &self.set.rules);
-        ((self.reading(host) + self.unread_at(host, r) + READ_EXTRA) * cost).max(host.oldest_pending(now))
+        let cost = self.read_cost / host.warmth(now, &self.set.rules);
+        let told = host.backlog.0 * cost - (now - host.backlog.1) as f64;
+        let wait = if now < host.backlog.1 + 1_000_000 { told.max(0.0) } else { host.read_wait.get(now, self.read_wait.value) };
+        (wait + (self.reading(host) + self.unread_at(host, r) + READ_EXTRA) * cost).max(host.oldest_pending(now))
     }
 
     /// Sends on the states that wait: to the admitted writer if it still passes, else to another.
@@ -693,8 +736,9 @@
         if r.reader.is_some() {
             return self.first_token(now, at, took);
         }
-        host.read_cost.learn(now, self.read_cost.value, took as f64 / (r.unread + READ_EXTRA), HOST_GAIN);
         host.kept.extend(r.ask.prefix.map(|key| (key, r.ask.prefix_tokens)));
+        let tokens = r.unread + READ_EXTRA;
+        self.learn_read(now, at, tokens, took as f64);
     }
 
     /// A first token took this long, or longer when the attempt timed out.
@@ -793,12 +837,21 @@
         self.curves[host.kind.0].learn(load, r.tokens, (now - r.begun) as f64);
     }
 
-    /// A read took this long, or longer, for all the own tokens up to it: others' reads show in the cost.
+    /// A read took this long, or longer, for all the own tokens up to it. What it took beyond them was a wait for
+    /// others' reads, which a longer prompt would not have had to pay again.
     fn read_took(&mut self, now: Micros, id: RequestId, at: HostId, unread: f64, took: Micros) {
-        let (Some(r), Some(host)) = (self.requests.get(&id), self.hosts.get_mut(&at)) else { return };
-        let cost = took as f64 / (r.read_load - r.unread + unread).max(READ_EXTRA);
-        host.read_cost.learn(now, self.read_cost.value, cost, HOST_GAIN);
-        self.read_cost.follow(now, cost);
+        let Some(r) = self.requests.get(&id) else { return };
+        self.learn_read(now, at, (r.read_load - r.unread + unread).max(READ_EXTRA), took as f64);
+    }
+
+    fn learn_read(&mut self, now: Micros, at: HostId, tokens: f64, took: f64) {
+        let Some(host) = self.hosts.get_mut(&at) else { return };
+        let warmth = host.warmth(now, &self.set.rules);
+        let cost = took * warmth / tokens;
+        self.read_cost += COST_GAIN[usize::from(cost < self.read_cost)] * (cost - self.read_cost);
+        let wait = (took - tokens * self.read_cost / warmth).max(0.0);
+        host.read_wait.learn(now, self.read_wait.value, wait, HOST_GAIN);
+        self.read_wait.follow(now, wait);
     }
 
     fn was_read(&mut self, now: Micros, id: RequestId, at: HostId, kept: f64, took: Micros) {
@@ -967,6 +1020,9 @@
 
     /// What others hold of a writer's memory, from its report; absurd reports are passed over.
     fn report(&mut self, now: Micros, at: HostId, load: Option<&Load>) {
+        if let (Some(host), Some(tokens)) = (self.hosts.get_mut(&at), load.and_then(|l| l.waiting_tokens)) {
+            host.backlog = (tokens.clamp(0.0, 1e7), now);
+        }
         let host = self.hosts.get(&at).filter(|h| h.role != Role::Read && h.memory.is_finite());
         let share = load.and_then(|load| load.memory).filter(|share| (0.0..=2.0).contains(share));
         let (Some(host), Some(share)) = (host, share) else { return };
