Let what cold hosts are sent grow as they warm

Ruled out: jammed readers, writers without room. Wrong lines: `cold_gap` used the capacity at the start all through the ramp, and `send` fixed the next send's time by it. What the rule allows then grows with the host, so the budget now does, and is looked at when a host is chosen.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -116,7 +116,8 @@
     failed_at: Micros,
     rest_until: Micros,
     full_until: BTreeMap<(ClassId, Option<TenantId>), Micros>,
-    next_cold: Micros,
+    /// Of a starting host: since when this router's part of what it bears has not been used.
+    cold_since: Micros,
     probe_at: Micros,
     /// Attempts without a first answer, by the time they were sent.
     pending: BTreeMap<RequestId, Micros>,
@@ -139,19 +140,10 @@
     /// Share of its capacity that a starting host has, taken to grow evenly.
     fn warmth(&self, now: Micros, rules: &Rules) -> f64 {
         let Some(at) = self.started else { return 1.0 };
-        let age = (now - at) as f64 / rules.ramp_time.max(1) as f64;
+        let age = now.saturating_sub(at) as f64 / rules.ramp_time.max(1) as f64;
         (rules.start_capacity + (1.0 - rules.start_capacity) * age.max(0.0)).min(1.0)
     }
 
-    fn takes(&self, now: Micros, ask: &NewRequest, rules: &Rules) -> bool {
-        let warm_at = self.started.map_or(Micros::MIN, |at| at.saturating_add(rules.ramp_time));
-        self.phase == Phase::Serving
-            && now >= self.rest_until.max(self.stuck_until)
-            && (self.fails == 0 || self.pending.is_empty())
-            && (now >= warm_at || now >= self.next_cold)
-            && self.full_until.get(&(ask.class, ask.tenant)).is_none_or(|&at| now >= at)
-    }
-
     fn oldest_pending(&self, now: Micros) -> f64 {
         self.pending.values().min().map_or(0.0, |&at| (now - at) as f64)
     }
@@ -370,7 +362,7 @@
             return;
         }
         let r = &self.requests[&id];
-        let homes = self.homes(r, |h| h.takes(now, &r.ask, &self.set.rules));
+        let homes = self.homes(r, |h| self.takes(now, h, &r.ask));
         out.extend(homes.iter().take(ASKED).map(|h| Action::Probe(h.id)));
         self.requests.entry(id).and_modify(|r| r.asked_until = now + ASK_WAIT);
     }
@@ -529,7 +521,7 @@
         let r = self.requests.get(&id)?;
         // The home reader, else the next home that passes; a read and a write must both be left.
         let may_read = r.sent + 2 <= self.set.limits.max_attempts;
-        let mut homes = self.homes(r, |h| may_read && h.takes(now, &r.ask, &self.set.rules));
+        let mut homes = self.homes(r, |h| may_read && self.takes(now, h, &r.ask));
         homes.sort_by(|a, b| self.read_time(now, a, r).total_cmp(&self.read_time(now, b, r)));
         let paired = homes.iter().find_map(|at| {
             let ready_in = self.read_time(now, at, r) * READ_MARGIN;
@@ -570,7 +562,7 @@
             (true, _) => 1.0,
             (_, near) => h.spare * if near { 1.0 } else { FAR_WEIGHT },
         };
-        let takes = |h: &Host| h.takes(now, &r.ask, &self.set.rules) && self.may_run_at(now, r, h.id);
+        let takes = |h: &Host| self.takes(now, h, &r.ask) && self.may_run_at(now, r, h.id);
         let fits = |h: &&Host| h.role != Role::Read && takes(h) && wanted(h);
         let drawn = |h: &Host| {
             let room = self.room(now, r, h, ready_in, tested)?;
@@ -614,8 +606,8 @@
 
     /// Sends on the states that wait: to the admitted writer if it still passes, else to another.
     fn send_ready(&mut self, now: Micros, out: &mut Vec<Action>) {
-        let ready = self.requests.iter().filter(|(_, r)| r.stage == Stage::Ready).map(|(&id, _)| id);
-        let ready: Vec<_> = ready.collect();
+        let ready = self.requests.iter().filter(|(_, r)| r.stage == Stage::Ready);
+        let ready: Vec<_> = ready.map(|(&id, _)| id).collect();
         let start = now.saturating_add(self.quickest(false, |h| self.first_time(now, h)) as Micros);
         for id in ready {
             self.requests.entry(id).and_modify(|r| r.late = start > r.aim_at);
@@ -679,7 +671,6 @@
     }
 
     fn send(&mut self, now: Micros, id: RequestId, to: HostId, expected: f64, out: &mut Vec<Action>) {
-        let gap = self.cold_gap(now, to);
         let (Some(r), Some(host)) = (self.requests.get_mut(&id), self.hosts.get_mut(&to)) else { return };
         let left = (r.deadline - now).max(1) as f64;
         // A silent host shows only so. The share leaves room for another try, unless all is slow.
@@ -692,7 +683,7 @@
         } else {
             host.pending.insert(id, now);
         }
-        host.next_cold = now.saturating_add(gap);
+        host.cold_since = now;
         out.push(Action::Send { request: id, host: to, time_out: time_out.max(1) });
     }
 
@@ -953,14 +944,21 @@
         }
     }
 
-    /// Rule 4: least time between own sends to a starting host: within this router's part of the start
-    /// capacity, by what comes in: what goes there shrinks with this guard. It may be far over the window.
-    fn cold_gap(&self, now: Micros, to: HostId) -> Micros {
-        let Some(host) = self.hosts.get(&to) else { return 0 };
-        let rules = &self.set.rules;
-        let each = self.own_rate(now, host.role == Role::Read);
-        let budget = each * rules.fall_multiple * rules.start_capacity * COLD_SHARE;
-        (1.0 / budget.max(1e-9)) as Micros
+    /// Whether a host may be sent this now, as far as this router knows.
+    fn takes(&self, now: Micros, host: &Host, ask: &NewRequest) -> bool {
+        host.phase == Phase::Serving
+            && now >= host.rest_until.max(host.stuck_until)
+            && (host.fails == 0 || host.pending.is_empty())
+            && host.full_until.get(&(ask.class, ask.tenant)).is_none_or(|&at| now >= at)
+            && (host.warmth(now, &self.set.rules) >= 1.0 || self.cold_budget(now, host) >= 1.0)
+    }
+
+    /// Rule 4: own sends that a starting host bears since the last: this router's part of what it can do,
+    /// which grows, by what comes in: what goes there shrinks with this guard.
+    fn cold_budget(&self, now: Micros, host: &Host) -> f64 {
+        let (rules, unused) = (&self.set.rules, (now - host.cold_since) as f64);
+        let warmth = host.warmth(now - (unused / 2.0) as Micros, rules);
+        unused * self.own_rate(now, host.role == Role::Read) * rules.fall_multiple * warmth * COLD_SHARE
     }
 
     /// What comes in here, a microsecond, for each reader or each writer.
@@ -1009,8 +1007,10 @@
 
     /// Puts the first send to a cold host off by chance, as all routers hear of a start at once.
     fn put_off(&mut self, now: Micros, to: HostId) {
-        let after = self.cold_gap(now, to) as f64 * chance(to.0, now as u64 ^ self.salt);
-        self.hosts.entry(to).and_modify(|h| h.next_cold = now.saturating_add(after as Micros));
+        let readers = self.hosts.get(&to).is_some_and(|h| h.role == Role::Read);
+        let part = self.own_rate(now, readers) * self.set.rules.fall_multiple * self.set.rules.start_capacity;
+        let used = (chance(to.0, now as u64 ^ self.salt) / (part * COLD_SHARE).max(1e-9)) as Micros;
+        self.hosts.entry(to).and_modify(|h| h.cold_since = now - used);
     }
 
     fn follow(&mut self, now: Micros, out: &mut Vec<Action>) {
