Count a reader that was asked and stays silent as slower

The hung readers had been asked for their backlog and had not answered. Wrong lines: `read_time` took the mean wait for a reader of which nothing is known, also right after it had been asked in vain.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -36,7 +36,7 @@
 const FIRST_TOOK: f64 = 100_000.0; // from a send to a writer to the first token, until some have been seen
 const HOST_GAIN: f64 = 0.25; // weight of a new sample in a host's mean: a few requests tell
 const FLEET_GAIN: f64 = 0.05; // and in the fleet's
-const HOMES: usize = 4; // of a beginning: it may outgrow one, and each must read it first
+const HOMES: usize = 3; // of a beginning, all asked: it may outgrow one, yet each must read it first
 const CELL_SLACK: f64 = 1.15; // of a cell's part of the states that its writers take before others share them
 const STAY_LEAST: f64 = 0.5; // part of the reading that a reader without writers near gets, at least
 const SPARE_LEAST: f64 = 0.05; // weight of a writer whose cell has none to spare, against an idle one
@@ -62,7 +62,6 @@
 const QUOTA_SLACK: f64 = 1.25; // multiple of an even part of a quota let through: traffic is not even
 const QUOTA_BURST: f64 = 2e6; // of quota that may be used at once
 const ANSWER_MARGIN: Micros = 10_000; // before the deadline at which what is held is answered
-const ASKED: usize = 3; // readers asked for each prompt: the best of a few is nearly as good as that of all
 const REPORT: Micros = 1_000_000; // for which a host's report holds: none is made anew more seldom
 const ASK_WAIT: Micros = 15_000; // for an answer: two ways and a handshake, little against any aim
 const FOLLOW_AGAIN: Micros = 1_000_000; // between tries to follow the list of hosts
@@ -335,7 +334,6 @@
         let tokens = hint.unwrap_or(ask.most_tokens * LENGTH_GUESS).max(1.0);
         let stretch = (class.aim_per_1000 as f64 * ask.prompt_tokens / 1000.0) as Micros;
         let aim_at = now.saturating_add(class.aim.saturating_add(stretch).min(ask.time_left));
-        let over_share = ask.tenant.is_some_and(|t| self.over_quota(now, t));
         if !ask.again {
             self.arrivals.count(now);
         }
@@ -348,7 +346,7 @@
             tokens,
             footprint: ask.prompt_tokens + tokens,
             token_aim,
-            over_share,
+            over_share: ask.tenant.is_some_and(|t| self.over_quota(now, t)),
             ..Request::default()
         };
         self.requests.insert(ask.id, request);
@@ -361,10 +359,12 @@
         if !self.set.limits.probes || self.hears(now, true) {
             return;
         }
-        let r = &self.requests[&id];
-        let homes = self.homes(r, |h| self.takes(now, h, &r.ask));
-        out.extend(homes.iter().take(ASKED).map(|h| Action::Probe(h.id)));
-        self.requests.entry(id).and_modify(|r| r.asked_until = now + ASK_WAIT);
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        r.asked_until = now + ASK_WAIT;
+        for &at in &r.homes {
+            self.hosts.entry(at).and_modify(|h| h.probe_at = now);
+            out.push(Action::Probe(at));
+        }
     }
 
     /// Whether this request goes beyond this router's part of its tenant's quota.
@@ -519,9 +519,9 @@
     /// Reader and writer for a held request, if any pass.
     fn pair(&self, now: Micros, id: RequestId, tested: bool) -> Option<(Option<HostId>, HostId)> {
         let r = self.requests.get(&id)?;
-        // The home reader, else the next home that passes; a read and a write must both be left.
-        let may_read = r.sent + 2 <= self.set.limits.max_attempts;
-        let mut homes = self.homes(r, |h| may_read && self.takes(now, h, &r.ask));
+        // The quickest home that passes; a read and a write must both be left.
+        let most = self.set.limits.max_attempts;
+        let mut homes = self.homes(r, |h| r.sent + 2 <= most && self.takes(now, h, &r.ask));
         homes.sort_by(|a, b| self.read_time(now, a, r).total_cmp(&self.read_time(now, b, r)));
         let paired = homes.iter().find_map(|at| {
             let ready_in = self.read_time(now, at, r) * READ_MARGIN;
@@ -534,8 +534,8 @@
         // Exception: where no reader passes, a mixed host that passes reads by itself. Guards against readers
         // drained, lost or jammed; slows that host's streams, so it comes last.
         let in_time = |h: &Host| self.read_time(now, h, r) * READ_MARGIN <= (r.aim_at - now) as f64;
-        let reads = |h: &Host| h.role == Role::Both || self.set.limits.writers_read;
-        let fits = |h: &Host| reads(h) && (!tested || in_time(h));
+        let fits =
+            |h: &Host| (h.role == Role::Both || self.set.limits.writers_read) && (!tested || in_time(h));
         paired.or_else(|| Some((None, self.choose_writer(now, r, None, 0.0, tested, fits)?)))
     }
 
@@ -600,6 +600,9 @@
         let age = now - host.told_at;
         let told = Some((host.backlog * cost - age as f64).max(0.0)).filter(|_| age < REPORT);
         let wait = told.unwrap_or_else(|| host.read_wait.get(now, self.read_wait.value));
+        // Asked just now and still silent: it may answer nothing at all.
+        let silent = age > now - host.probe_at && now < host.probe_at + REPORT;
+        let wait = wait + if silent { PATIENCE_EXTRA } else { 0.0 };
         (wait + (self.reading(host) + self.unread_at(host, r) + READ_EXTRA) * cost)
             .max(host.oldest_pending(now))
     }
@@ -805,10 +808,9 @@
     fn was_read(&mut self, now: Micros, id: RequestId, at: HostId, kept: f64, took: Micros) {
         self.worked(now, at);
         let Some(r) = self.requests.get(&id) else { return };
-        if let Some(rank) = r.homes.iter().position(|&h| h == at) {
+        if let Some(rank) = r.homes.iter().position(|&h| h == at && r.ask.prefix.is_some()) {
             let share = (kept / r.ask.prefix_tokens.max(1.0)).min(1.0);
-            let gain = if r.ask.prefix_tokens > 0.0 { FLEET_GAIN } else { 0.0 };
-            self.kept_share[rank] += gain * (share - self.kept_share[rank]);
+            self.kept_share[rank] += FLEET_GAIN * (share - self.kept_share[rank]);
         }
         self.read_took(now, id, at, (r.ask.prompt_tokens - kept).max(0.0), took);
         let (Some(r), Some(host)) = (self.requests.get(&id), self.hosts.get_mut(&at)) else { return };
@@ -894,9 +896,8 @@
     fn may_run_anywhere(&self, now: Micros, id: RequestId) -> bool {
         let Some(r) = self.requests.get(&id) else { return true };
         let needed = if r.reader.is_some() { 1 } else { 2 };
-        let writers = || self.hosts.iter().filter(|(_, h)| h.role != Role::Read);
         r.sent + needed <= self.set.limits.max_attempts
-            && (r.may_have_run.is_none() || writers().any(|(&w, _)| self.may_run_at(now, r, w)))
+            && (r.may_have_run.is_none() || self.serving(false).any(|h| self.may_run_at(now, r, h.id)))
     }
 
     /// Rule 3: a host that drains or is gone is out of all choices from this moment on.
@@ -981,8 +982,7 @@
         let host = self.hosts.get(&at).filter(|h| h.role != Role::Read && h.memory.is_finite());
         let share = load.and_then(|load| load.memory).filter(|share| (0.0..=2.0).contains(share));
         let (Some(host), Some(share)) = (host, share) else { return };
-        let begun = self.own_tokens(host, |r| r.stage == Stage::Streaming);
-        let others = (share * host.memory - begun).max(0.0);
+        let others = (share * host.memory - self.own_tokens(host, |r| r.stage == Stage::Streaming)).max(0.0);
         self.others += FLEET_GAIN * (others / host.memory.max(1.0) - self.others);
         self.hosts.entry(at).and_modify(|h| h.others = Some(Fading { value: others, at: now }));
     }
@@ -1014,8 +1014,8 @@
     }
 
     fn follow(&mut self, now: Micros, out: &mut Vec<Action>) {
-        let due = self.followed_at.is_none_or(|at| now >= at + FOLLOW_AGAIN);
-        if self.set.ask_for_list && !self.following && due {
+        let since = self.followed_at.map_or(Micros::MAX, |at| now - at);
+        if self.set.ask_for_list && !self.following && since >= FOLLOW_AGAIN {
             out.push(Action::Follow);
             (self.following, self.followed_at) = (true, Some(now));
         }
