--- a/src/logic.rs
+++ b/src/logic.rs
@@ -57,7 +57,7 @@
 const READY_WAIT: f64 = 0.4; // share of the pin limit after which a state goes to a writer untested...
 const READY_MOST: f64 = 0.8; // ...and after which it is let go
 const PROBE_EACH: f64 = 350_000.0; // between the fleet's probes of a writer, which take turns by chance
-const COLD_SHARE: f64 = 0.5; // of the cold budget in use: sends of many routers bunch by chance
+const SLOW_START_SHARE: f64 = 0.5; // of a cold host's budget in use: sends of many routers bunch by chance
 const SEEN_LEAST: f64 = 0.1; // part of a whole view of the arrivals that is believed: a second's worth
 const QUOTA_SLACK: f64 = 1.25; // multiple of an even part of a quota let through: traffic is not even
 const QUOTA_BURST: f64 = 2e6; // of quota that may be used at once
@@ -115,8 +115,8 @@
     failed_at: Micros,
     rest_until: Micros,
     full_until: BTreeMap<(ClassId, Option<TenantId>), Micros>,
-    /// Of a starting host: since when this router's part of what it bears has not been used.
-    cold_since: Micros,
+    /// In slow start: since when this router's part of what the host bears has not been used.
+    unused_since: Micros,
     probe_at: Micros,
     /// Attempts without a first answer, by the time they were sent.
     pending: BTreeMap<RequestId, Micros>,
@@ -686,7 +686,7 @@
         } else {
             host.pending.insert(id, now);
         }
-        host.cold_since = now;
+        host.unused_since = now;
         out.push(Action::Send { request: id, host: to, time_out: time_out.max(1) });
     }
 
@@ -840,7 +840,7 @@
             && host.started.is_none_or(|s| s < host.failed_at - self.set.rules.ramp_time)
         {
             host.started = Some(now);
-            self.put_off(now, at);
+            self.start_slowly(now, at);
         }
         self.hosts.entry(at).and_modify(|h| (h.fails, h.spoilt, h.rest_until) = (0, 0, now));
     }
@@ -923,7 +923,7 @@
             if m.started > host.started {
                 host.started = m.started;
                 host.kept.clear();
-                self.put_off(now, m.host);
+                self.start_slowly(now, m.host);
             }
         }
         // What is gone is forgotten once nothing is out there: a long day brings ever new hosts.
@@ -951,15 +951,15 @@
             && now >= host.rest_until.max(host.stuck_until)
             && (host.fails == 0 || host.pending.is_empty())
             && host.full_until.get(&(ask.class, ask.tenant)).is_none_or(|&at| now >= at)
-            && (host.warmth(now, &self.set.rules) >= 1.0 || self.cold_budget(now, host) >= 1.0)
+            && (host.warmth(now, &self.set.rules) >= 1.0 || self.slow_start_budget(now, host) >= 1.0)
     }
 
-    /// Rule 4: own sends that a starting host bears since the last: this router's part of what it can do,
-    /// which grows, by what comes in: what goes there shrinks with this guard.
-    fn cold_budget(&self, now: Micros, host: &Host) -> f64 {
-        let (rules, unused) = (&self.set.rules, (now - host.cold_since) as f64);
+    /// Rule 4, slow start: own sends that a cold host bears since the last: this router's part of what it can
+    /// do, which grows, by what comes in: what goes there shrinks with this guard.
+    fn slow_start_budget(&self, now: Micros, host: &Host) -> f64 {
+        let (rules, unused) = (&self.set.rules, (now - host.unused_since) as f64);
         let warmth = host.warmth(now - (unused / 2.0) as Micros, rules);
-        unused * self.own_rate(now, host.role == Role::Read) * rules.fall_multiple * warmth * COLD_SHARE
+        unused * self.own_rate(now, host.role == Role::Read) * rules.fall_multiple * warmth * SLOW_START_SHARE
     }
 
     /// What comes in here, a microsecond, for each reader or each writer.
@@ -1006,11 +1006,11 @@
     }
 
     /// Puts the first send to a cold host off by chance, as all routers hear of a start at once.
-    fn put_off(&mut self, now: Micros, to: HostId) {
+    fn start_slowly(&mut self, now: Micros, to: HostId) {
         let readers = self.hosts.get(&to).is_some_and(|h| h.role == Role::Read);
         let part = self.own_rate(now, readers) * self.set.rules.fall_multiple * self.set.rules.start_capacity;
-        let used = (chance(to.0, now as u64 ^ self.salt) / (part * COLD_SHARE).max(1e-9)) as Micros;
-        self.hosts.entry(to).and_modify(|h| h.cold_since = now - used);
+        let used = (chance(to.0, now as u64 ^ self.salt) / (part * SLOW_START_SHARE).max(1e-9)) as Micros;
+        self.hosts.entry(to).and_modify(|h| h.unused_since = now - used);
     }
 
     fn follow(&mut self, now: Micros, out: &mut Vec<Action>) {
