--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -1,12 +1,13 @@
 //! How a conductor asks discovery, which serves the whole fleet.
 
-mod player;
+mod common;
 
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{TcpListener, TcpStream};
 use std::time::Duration;
 
+use common::program;
 use croftsill::node::discovery::Backoff;
 
 /// Takes one call to discovery: its request line, and the connection to answer on.
@@ -24,21 +25,21 @@
 
 #[test]
 fn a_start_with_a_known_list_makes_one_call_for_what_it_missed_and_waits_its_turn() {
-    let base = player::address();
+    let base = program::address();
     let listener = TcpListener::bind(format!("{base}:8500")).expect("a free address");
-    let config = player::platform(&base);
+    let config = program::platform(&base);
     let text = std::fs::read_to_string(&config).expect("the file just written");
     // Asked for, it is one service for all; where the list is pushed an agent of the conductor's own answers at once.
     let text = text.replace("\"membershipMode\": \"push\"", "\"membershipMode\": \"ask\"");
-    let known = player::target(&base, "w1", "Ready");
+    let known = program::target(&base, "w1", "Ready");
     let known = format!("\"known\":{{\"version\":41,\"full\":true,\"servers\":[{known}]}},\"settings\"");
-    player::file(&base, "config.json", &text.replace("\"settings\"", &known));
-    let mut program = player::Program::start(&base, &[], &[("LB_CONFIG", &config)]);
+    program::file(&base, "config.json", &text.replace("\"settings\"", &known));
+    let mut program = program::Program::start(&base, &[], &[("LB_CONFIG", &config)]);
     let (asked, mut socket) = call(&listener);
     assert_eq!(asked, "GET /api/targets?follow=1&since=41 HTTP/1.1");
     // A crowded discovery lets calls wait in turn: each that is given up early would be worked on in vain.
     std::thread::sleep(Duration::from_secs(2));
-    let change = player::target(&base, "w1", "Terminating");
+    let change = program::target(&base, "w1", "Terminating");
     let change = format!("{{\"version\":42,\"full\":false,\"servers\":[{change}]}}\n");
     let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     write!(socket, "{head}{:x}\r\n{change}\r\n", change.len()).expect("it listens");
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -1,12 +1,12 @@
 //! Recorded exchanges, played against the program. Each file says what it guards.
 
-mod player;
+mod common;
 
 macro_rules! exchanges {
     ($($name:ident)*) => {$(
         #[test]
         fn $name() {
-            player::play(include_str!(concat!("exchanges/", stringify!($name), ".txt")));
+            common::script::play(include_str!(concat!("exchanges/", stringify!($name), ".txt")));
         }
     )*};
 }
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -18,6 +18,7 @@
 use tokio::time::timeout;
 
 mod common;
+use common::rig;
 
 /// Far above any wait that is meant.
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -25,13 +26,13 @@
 /// A core with one reader and one writer at this address, and room for a single connection to them. What is under
 /// way cannot be withdrawn.
 fn core(listener: &TcpListener) -> Core {
-    let mut settings = common::settings();
+    let mut settings = rig::settings();
     settings.limits.cancel = false;
     let limits = PoolLimits { connect: PATIENCE, idle: PATIENCE, connections: 1 };
     let counters = Rc::new(Counters::default());
     let pool = Rc::new(Pool::new(limits, counters.clone()));
     let addr = listener.local_addr().expect("it listens");
-    let members = [common::member(common::READER, 0), common::member(common::WRITER, 1)];
+    let members = [rig::member(rig::READER, 0), rig::member(rig::WRITER, 1)];
     for m in &members {
         pool.place(m.host, Some(Site { addr, role: settings.kinds[m.kind.0].role, ready: true }));
     }
@@ -44,7 +45,7 @@
 async fn waits_for_a_connection_and_leaves() -> Vec<u8> {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let core = core(&listener);
-    let Ok(taken) = core.upstream.pool().connection(HostId(common::READER)).await else {
+    let Ok(taken) = core.upstream.pool().connection(HostId(rig::READER)).await else {
         panic!("it listens");
     };
     let _ = listener.accept().await.expect("the connection that takes the room");
@@ -55,7 +56,7 @@
         body: Bytes::from_static(b"{}"),
     };
     let (caller, answer) = Caller::new();
-    let life = spawn_local(live(core.clone(), common::ask(1), (payload, ()), caller));
+    let life = spawn_local(live(core.clone(), rig::ask(1), (payload, ()), caller));
     while core.counters.attempts.get() == 0 {
         tokio::task::yield_now().await;
     }
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -1,16 +1,17 @@
 //! What the program may use of its machine.
 
-mod player;
+mod common;
 
+use common::program;
 use croftsill::api::{HostId, Role};
 use croftsill::node::config::{Chat, Platform};
 use croftsill::node::pool::{Pool, Site};
 
 #[test]
 fn both_fronts_together_stay_under_the_limit_on_sockets() {
-    let base = player::address();
-    let mut platform = Platform::read(&player::platform(&base)).expect("a good configuration");
-    let chat = Chat::read(&player::chat(&base, &["s1"], "")).expect("a good operator's file");
+    let base = program::address();
+    let mut platform = Platform::read(&program::platform(&base)).expect("a good configuration");
+    let chat = Chat::read(&program::chat(&base, &["s1"], "")).expect("a good operator's file");
     let of_chat = chat.intake + chat.pool.connections;
     let of_platform = |p: &Platform| p.intake + p.pool.connections;
     // The rest is for discovery, the connections that are only turned away, the listeners and the runtime.
@@ -21,7 +22,7 @@
 
 #[test]
 fn nothing_is_kept_of_an_instance_that_is_gone() {
-    let platform = Platform::read(&player::platform(&player::address())).expect("a good configuration");
+    let platform = Platform::read(&program::platform(&program::address())).expect("a good configuration");
     let pool = Pool::new(platform.pool, Default::default());
     let addr = platform.listen;
     pool.place(HostId(7), Some(Site { addr, role: Role::Read, ready: true }));
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -1,7 +1,7 @@
 //! The admission, the tiers and the pairing.
 mod common;
 
-use common::*;
+use common::rig::*;
 use croftsill::Router;
 use croftsill::api::*;
 
--- a/tests/mixed.rs
+++ b/tests/mixed.rs
@@ -1,8 +1,9 @@
 //! Both APIs at once on one process: 40 requests a second for a bounded time, each with one final answer, and no
 //! `route-save` at a server twice.
 
-mod player;
+mod common;
 
+use common::program;
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -48,7 +49,7 @@
 
 /// A stand-in that counts each request that arrives to be answered, and breaks or turns away some.
 fn instance(base: &str, name: &'static str, seen: Seen) {
-    let listener = TcpListener::bind(format!("{base}:{}", player::port(name))).expect("a free address");
+    let listener = TcpListener::bind(format!("{base}:{}", program::port(name))).expect("a free address");
     std::thread::spawn(move || {
         for socket in listener.incoming().flatten() {
             let seen = seen.clone();
@@ -127,16 +128,16 @@
 
 #[test]
 fn both_apis_at_once_give_one_answer_each_and_repeat_no_route_save() {
-    let base = player::address();
+    let base = program::address();
     let seen = Seen::default();
     for name in ["r1", "w1", "w2", "s1", "s2"] {
         instance(&base, name, seen.clone());
     }
-    let list = ["r1", "w1", "w2"].map(|n| player::target(&base, n, "Ready")).join(",");
-    let _watch = player::discovery(&base, list);
-    let (config, file) = (player::platform(&base), player::chat(&base, &["s1", "s2"], ""));
+    let list = ["r1", "w1", "w2"].map(|n| program::target(&base, n, "Ready")).join(",");
+    let _watch = program::discovery(&base, list);
+    let (config, file) = (program::platform(&base), program::chat(&base, &["s1", "s2"], ""));
     let words = ["--chat", file.to_str().expect("a plain path")];
-    let mut program = player::Program::start(&base, &words, &[("LB_CONFIG", &config)]);
+    let mut program = program::Program::start(&base, &words, &[("LB_CONFIG", &config)]);
     program.logs("chat front listens");
     program.logs("ready, with");
     let start = Instant::now();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,7 +1,7 @@
 //! The five rules, each through the public interface.
 mod common;
 
-use common::*;
+use common::rig::*;
 use croftsill::api::*;
 
 fn with_effect(effect: Effect) -> Settings {
--- a/tests/spiffe.rs
+++ b/tests/spiffe.rs
@@ -1,12 +1,13 @@
 //! Identities on the chat front, with certificates made here.
 
-mod player;
+mod common;
 
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::path::Path;
 use std::sync::Arc;
 
+use common::program;
 use rcgen::{BasicConstraints, CertificateParams, ExtendedKeyUsagePurpose, IsCa, Issuer, KeyPair, SanType};
 use rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName};
 use rustls::{ClientConfig, ClientConnection, RootCertStore, Stream};
@@ -68,16 +69,16 @@
 #[test]
 fn only_allowed_identities_are_served() {
     let (ours, theirs) = (authority(), authority());
-    let base = player::address();
+    let base = program::address();
     let (server, _, key) = svid(&ours, &["spiffe://hanbit.example/croftsill"]);
-    player::file(&base, "svid.pem", &server);
-    player::file(&base, "svid-key.pem", &key.serialize_pem());
-    player::file(&base, "bundle.pem", &ours.pem);
+    program::file(&base, "svid.pem", &server);
+    program::file(&base, "svid-key.pem", &key.serialize_pem());
+    program::file(&base, "bundle.pem", &ours.pem);
     let tls = format!(
         "[tls]\ncertificate = \"svid.pem\"\nkey = \"svid-key.pem\"\ntrust_bundle = \"bundle.pem\"\nallowed_ids = [\"{CLUB}\"]\n"
     );
-    let file = player::chat(&base, &["s1"], &tls);
-    let mut program = player::Program::start(&base, &["--chat", file.to_str().expect("a plain path")], &[]);
+    let file = program::chat(&base, &["s1"], &tls);
+    let mut program = program::Program::start(&base, &["--chat", file.to_str().expect("a plain path")], &[]);
     program.logs("chat front listens");
     let addr = format!("{base}:8090");
     let with = |by: &Authority, uris: &[&str]| {
@@ -95,9 +96,9 @@
     assert!(with(&theirs, &[CLUB]).is_err());
     assert!(ask(&addr, &ours, None).is_err());
     // A bundle that is replaced while the program runs counts for the next client; one that is no bundle does not.
-    player::file(&base, "bundle.pem", "no bundle");
+    program::file(&base, "bundle.pem", "no bundle");
     assert!(with(&ours, &[CLUB]).is_ok());
-    player::file(&base, "bundle.pem", &format!("{}{}", ours.pem, theirs.pem));
+    program::file(&base, "bundle.pem", &format!("{}{}", ours.pem, theirs.pem));
     assert!(with(&theirs, &[CLUB]).is_ok_and(|text| text.starts_with("HTTP/1.1 200 OK")));
     // Without TLS there is no answer either.
     let mut plain = TcpStream::connect(&addr).expect("it listens");
@@ -110,25 +111,25 @@
 
 #[test]
 fn a_bad_operator_file_is_one_plain_line() {
-    let base = player::address();
+    let base = program::address();
     let path = |file: &Path| file.to_str().expect("a plain path").to_owned();
     let ended = |words: &[&str], part: &str| {
-        let mut program = player::Program::start(&base, words, &[]);
+        let mut program = program::Program::start(&base, words, &[]);
         let log = program.ended(false);
         assert!(log.lines().count() == 1 && log.contains(part), "{log}");
     };
     let bad_id =
         "[tls]\ncertificate = \"a\"\nkey = \"b\"\ntrust_bundle = \"c\"\nallowed_ids = [\"spiffe://Bad/\"]\n";
-    ended(&["--chat", &path(&player::chat(&base, &["s1"], bad_id))], "is not a SPIFFE ID");
+    ended(&["--chat", &path(&program::chat(&base, &["s1"], bad_id))], "is not a SPIFFE ID");
     let no_files = bad_id.replace("spiffe://Bad/", CLUB);
-    ended(&["--chat", &path(&player::chat(&base, &["s1"], &no_files))], "/c: ");
-    ended(&["--chat", &path(&player::chat(&base, &["s1"], "[colour]"))], "unknown field");
-    ended(&["--chat", &path(&player::file(&base, "odd.toml", "listen = 1"))], "odd.toml: ");
+    ended(&["--chat", &path(&program::chat(&base, &["s1"], &no_files))], "/c: ");
+    ended(&["--chat", &path(&program::chat(&base, &["s1"], "[colour]"))], "unknown field");
+    ended(&["--chat", &path(&program::file(&base, "odd.toml", "listen = 1"))], "odd.toml: ");
     ended(&["--chat", "/nowhere"], "cannot read /nowhere");
     ended(&["--chat"], "usage: ");
     ended(&[], "nothing to do");
-    let config = player::file(&base, "config.json", "{\"name\":1}");
-    let mut program = player::Program::start(&base, &[], &[("LB_CONFIG", &config)]);
+    let config = program::file(&base, "config.json", "{\"name\":1}");
+    let mut program = program::Program::start(&base, &[], &[("LB_CONFIG", &config)]);
     let log = program.ended(false);
     assert!(log.lines().count() == 1 && log.contains("config.json: invalid type"), "{log}");
 }
