Pass the client's Idempotency-Key on with every attempt

Ruled out: other ids on repeats (first attempts fault too). Wrong: Upstream::head built requests from a fixed set of headers, and Payload had no place for the key.

--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -16,6 +16,8 @@
 use super::pool::{Pool, WriteMark};
 use crate::api::{HostId, Load, Micros, Outcome, Role};
 
+/// Header by which instances recognise repeats of a request.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 /// Most of an answer without a stream that is read.
 const ANSWER_MOST: usize = 256 * 1024;
 /// For a probe's answer.
@@ -39,6 +41,8 @@
     pub target: hyper::http::uri::PathAndQuery,
     /// What the body says it is.
     pub content_type: Option<HeaderValue>,
+    /// The client's `Idempotency-Key`, by which instances drop repeats of the request.
+    pub idempotency_key: Option<HeaderValue>,
     /// The body.
     pub body: Bytes,
 }
@@ -248,6 +252,7 @@
         };
         put("request-id", HeaderValue::from_str(&payload.id).ok());
         put(CONTENT_TYPE.as_str(), payload.content_type.clone());
+        put(IDEMPOTENCY_KEY, payload.idempotency_key.clone());
         let left = until.saturating_duration_since(Instant::now()).as_millis() as u64;
         put("request-timeout-ms", Some(left.max(1).into()));
     }
--- a/src/node/front/chat.rs
+++ b/src/node/front/chat.rs
@@ -20,7 +20,7 @@
 use super::{Pieces, Reply, begin};
 use crate::api::*;
 use crate::node::Core;
-use crate::node::attempt::Payload;
+use crate::node::attempt::{IDEMPOTENCY_KEY, Payload};
 use crate::node::config::Chat;
 use crate::node::counters::add;
 use crate::node::request::Answer;
@@ -235,7 +235,9 @@
         let target = request.uri().path_and_query().cloned();
         let target = target.ok_or_else(|| Fault::Path(String::new()))?;
         let content_type = Some(HeaderValue::from_static("application/json"));
-        let (streamed, payload) = (!ask.whole, Payload { id, target, content_type, body });
+        let idempotency_key = request.headers().get(IDEMPOTENCY_KEY).cloned();
+        let payload = Payload { id, target, content_type, idempotency_key, body };
+        let streamed = !ask.whole;
         let answer = begin(&self.core, ask, (payload, room), self.shutdown.pending());
         let mut reply = match answer.await {
             Ok(Answer::Events { form, pieces }) if streamed && form.streamed() => {
--- a/src/node/front/platform.rs
+++ b/src/node/front/platform.rs
@@ -20,7 +20,7 @@
 use super::{Pieces, Reply, begin};
 use crate::api::*;
 use crate::node::Core;
-use crate::node::attempt::Payload;
+use crate::node::attempt::{IDEMPOTENCY_KEY, Payload};
 use crate::node::counters::add;
 use crate::node::request::Answer;
 use crate::node::shutdown::Shutdown;
@@ -182,7 +182,8 @@
         ask.time_left -= arrived.elapsed().as_micros() as Micros + ON_THE_WAY;
         let target = request.uri().path_and_query().cloned().ok_or(Malformed::Path)?;
         let content_type = request.headers().get(CONTENT_TYPE).cloned();
-        let payload = Payload { id, target, content_type, body };
+        let idempotency_key = request.headers().get(IDEMPOTENCY_KEY).cloned();
+        let payload = Payload { id, target, content_type, idempotency_key, body };
         let answer = begin(&self.core, ask, (payload, room), (open, self.shutdown.pending()));
         Ok(match answer.await {
             Ok(Answer::Events { form, pieces }) => stream(form.content_type, pieces),
--- /dev/null
+++ b/tests/common/peers.rs
@@ -0,0 +1,264 @@
+//! Scripted peers on loopback sockets: clients, instances and discovery. Each step waits for bytes or for an end, so
+//! that a test orders what happens by what it has seen and never by time.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+use super::program::{PATIENCE, Program, configured, file, port, target};
+
+/// Between looks for a connection that has not been made yet.
+const LOOK_AGAIN: Duration = Duration::from_millis(2);
+
+/// One end of a connection.
+pub struct Connection {
+    socket: TcpStream,
+    unread: Vec<u8>,
+}
+
+/// What was read from a connection: a head, and a body if its length was told.
+#[derive(Debug)]
+pub struct Message {
+    pub head: String,
+    pub body: String,
+}
+
+impl Message {
+    /// The value of a header, whose name is given in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut fields = self.head.lines().filter_map(|line| line.split_once(": "));
+        fields.find(|(field, _)| field.eq_ignore_ascii_case(name)).map(|(_, value)| value)
+    }
+}
+
+impl Connection {
+    fn new(socket: TcpStream) -> Self {
+        socket.set_nodelay(true).expect("a socket that is open");
+        socket.set_read_timeout(Some(PATIENCE)).expect("a time above zero");
+        Connection { socket, unread: Vec::new() }
+    }
+
+    /// Connects to an address that listens.
+    pub fn open(address: &str) -> Self {
+        Connection::new(TcpStream::connect(address).expect("it listens"))
+    }
+
+    /// Writes all of the text.
+    pub fn send(&mut self, text: &str) {
+        self.socket.write_all(text.as_bytes()).expect("the peer to read");
+    }
+
+    /// Writes what the peer may no longer want to read.
+    pub fn send_into_the_close(&mut self, text: &str) {
+        let _ = self.socket.write_all(text.as_bytes());
+    }
+
+    /// Reads on; false at the end of the connection, also where it was reset.
+    fn read_more(&mut self) -> bool {
+        let mut buffer = [0; 16_384];
+        match self.socket.read(&mut buffer) {
+            Ok(0) => false,
+            Ok(n) => {
+                self.unread.extend_from_slice(&buffer[..n]);
+                true
+            }
+            Err(fault) if fault.kind() == ErrorKind::ConnectionReset => false,
+            Err(fault) => panic!("{fault} after {:?}", String::from_utf8_lossy(&self.unread)),
+        }
+    }
+
+    /// Reads until the text has come, and takes all up to its end.
+    pub fn reads_until(&mut self, text: &str) -> String {
+        loop {
+            let end = self.unread.windows(text.len()).position(|window| window == text.as_bytes());
+            if let Some(at) = end {
+                let taken = self.unread.drain(..at + text.len()).collect();
+                return String::from_utf8(taken).expect("plain text");
+            }
+            let found = String::from_utf8_lossy(&self.unread).into_owned();
+            assert!(self.read_more(), "no {text:?} before the end in {found:?}");
+        }
+    }
+
+    /// Reads one message: a head, and a body of the length that it tells.
+    pub fn message(&mut self) -> Message {
+        let head = self.reads_until("\r\n\r\n");
+        let mut message = Message { head, body: String::new() };
+        let length = message.header("content-length").map_or(0, |value| value.parse().expect("a length"));
+        while self.unread.len() < length {
+            assert!(self.read_more(), "the body of {:?} broke off", message.head);
+        }
+        message.body = String::from_utf8(self.unread.drain(..length).collect()).expect("plain text");
+        message
+    }
+
+    /// All that comes until the peer ends the connection in good order.
+    pub fn rest(&mut self) -> String {
+        let mut buffer = [0; 16_384];
+        loop {
+            match self.socket.read(&mut buffer).expect("an end in good order") {
+                0 => return String::from_utf8_lossy(&std::mem::take(&mut self.unread)).into_owned(),
+                n => self.unread.extend_from_slice(&buffer[..n]),
+            }
+        }
+    }
+
+    /// All that comes until the connection ends in any way.
+    pub fn rest_or_reset(&mut self) -> String {
+        while self.read_more() {}
+        String::from_utf8_lossy(&std::mem::take(&mut self.unread)).into_owned()
+    }
+
+    /// Closes both directions.
+    pub fn close(self) {
+        let _ = self.socket.shutdown(Shutdown::Both);
+    }
+}
+
+/// A peer that listens: an instance, or discovery.
+pub struct Listener(TcpListener);
+
+impl Listener {
+    /// Listens where the list says that this instance does.
+    pub fn instance(base: &str, name: &str) -> Self {
+        Listener::at(&format!("{base}:{}", port(name)))
+    }
+
+    /// Listens at an address.
+    pub fn at(address: &str) -> Self {
+        let listener = TcpListener::bind(address).expect("a free address");
+        listener.set_nonblocking(true).expect("a socket that is open");
+        Listener(listener)
+    }
+
+    /// The next connection that is made to it.
+    pub fn accept(&self) -> Connection {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            match self.0.accept() {
+                Ok((socket, _)) => {
+                    socket.set_nonblocking(false).expect("a socket that is open");
+                    return Connection::new(socket);
+                }
+                Err(fault) if fault.kind() == ErrorKind::WouldBlock => {
+                    assert!(Instant::now() < until, "nobody connects");
+                    std::thread::sleep(LOOK_AGAIN);
+                }
+                Err(fault) => panic!("{fault}"),
+            }
+        }
+    }
+
+    /// Whether nobody has connected beyond what was accepted.
+    pub fn is_untouched(&self) -> bool {
+        matches!(self.0.accept(), Err(fault) if fault.kind() == ErrorKind::WouldBlock)
+    }
+}
+
+/// Discovery, which is asked for the whole list and then for what changes.
+pub struct Discovery {
+    listener: Listener,
+    version: u64,
+}
+
+/// An open watch on the list.
+pub struct Watch {
+    pub connection: Connection,
+    pub since: String,
+}
+
+impl Watch {
+    /// Sends one chunk.
+    pub fn send(&mut self, text: &str) {
+        self.connection.send(&format!("{:x}\r\n{text}\r\n", text.len()));
+    }
+}
+
+/// One list, whole or only its changes.
+pub fn list(version: u64, full: bool, targets: &[String]) -> String {
+    format!(r#"{{"version":{version},"full":{full},"servers":[{}]}}"#, targets.join(","))
+}
+
+impl Discovery {
+    /// Listens at the usual port of these addresses.
+    pub fn start(base: &str) -> Self {
+        Discovery { listener: Listener::at(&format!("{base}:8500")), version: 1 }
+    }
+
+    /// Listens where an actor of this name does.
+    pub fn moved(base: &str, name: &str) -> Self {
+        Discovery { listener: Listener::instance(base, name), version: 1 }
+    }
+
+    /// Answers the call for the whole list.
+    pub fn serves_list(&mut self, targets: &[String]) {
+        let mut call = self.listener.accept();
+        let asked = call.message();
+        assert!(asked.head.starts_with("GET /api/targets HTTP/1.1"), "{asked:?}");
+        let text = list(self.version, true, targets);
+        call.send(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len()));
+    }
+
+    /// Takes the call for a watch, which has not been answered then.
+    pub fn takes_watch(&mut self) -> Watch {
+        let mut connection = self.listener.accept();
+        let asked = connection.message();
+        let path = asked.head.split(' ').nth(1).expect("a path");
+        let since = path.strip_prefix("/api/targets?follow=1&since=").expect("a watch");
+        let since = since.to_owned();
+        Watch { connection, since }
+    }
+
+    /// Answers the call for a watch, and says that nothing has changed.
+    pub fn opens_watch(&mut self) -> Watch {
+        let mut watch = self.takes_watch();
+        watch.connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        watch.send("\n");
+        watch
+    }
+}
+
+/// Starts the program on a private set of addresses, told of these instances, with its settings changed by `settings`.
+pub fn start(base: &str, instances: &[&str], settings: &[(&str, &str)]) -> (Program, Discovery, Watch) {
+    let mut discovery = Discovery::start(base);
+    let path = configured(base, 8_500);
+    let mut text = std::fs::read_to_string(&path).expect("the file just written");
+    for (old, new) in settings {
+        assert!(text.contains(old), "no {old} in the settings");
+        text = text.replace(old, new);
+    }
+    let path = file(base, "config.json", &text);
+    let mut program = Program::start(base, &[], &[("LB_CONFIG", &path), ("RUST_LOG", "debug".as_ref())]);
+    let targets: Vec<_> = instances.iter().map(|name| target(base, name, "Ready")).collect();
+    discovery.serves_list(&targets);
+    let watch = discovery.opens_watch();
+    program.logs("ready, with discovery's list");
+    (program, discovery, watch)
+}
+
+/// A client's connection to the program.
+pub fn client(base: &str) -> Connection {
+    Connection::open(&format!("{base}:8081"))
+}
+
+const BODY: &str = r#"{"stream":true}"#;
+
+/// A request of a class, whose client waits so long.
+pub fn request(id: &str, class: &str, timeout_ms: u32) -> String {
+    format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: app.svc\r\nRequest-Id: {id}\r\nRequest-Class: {class}\r\n\
+         Request-Timeout-Ms: {timeout_ms}\r\nRequest-Info: prompt_len=200,max_out=100\r\n\
+         Content-Length: {}\r\n\r\n{BODY}",
+        BODY.len()
+    )
+}
+
+/// A prefill server's answer to a prompt that it has read.
+pub const READ: &str = "HTTP/1.1 202 Accepted\r\nContent-Length: 19\r\n\r\n{\"cached_tokens\":0}";
+/// An answer to a call that lets go of what is held.
+pub const RELEASED: &str = "HTTP/1.1 204 No Content\r\n\r\n";
+/// The head of a stream, and its first event.
+pub const STREAM: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n\
+                          f\r\ndata: {\"n\":1}\n\n\r\n";
+/// The last event of a stream, and its end.
+pub const END: &str = "e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n";
--- a/tests/common/program.rs
+++ b/tests/common/program.rs
@@ -6,10 +6,10 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Far above any wait that is meant: only a test that fails comes to its end.
-pub const PATIENCE: Duration = Duration::from_secs(30);
+pub const PATIENCE: Duration = Duration::from_secs(8);
 
 /// A running program and a private set of loopback addresses.
 pub struct Program {
@@ -42,8 +42,9 @@
 
     /// Waits for a line of the log.
     pub fn logs(&mut self, part: &str) {
+        let until = Instant::now() + PATIENCE;
         while !self.seen.iter().any(|line| line.contains(part)) {
-            let line = self.log.recv_timeout(PATIENCE);
+            let line = self.log.recv_timeout(until.saturating_duration_since(Instant::now()));
             self.seen.push(line.unwrap_or_else(|_| panic!("no \"{part}\" in {:#?}", self.seen)));
         }
     }
@@ -54,6 +55,11 @@
         assert!(killed.success());
     }
 
+    /// Whether it still runs.
+    pub fn runs(&mut self) -> bool {
+        self.child.try_wait().expect("a child of this process").is_none()
+    }
+
     /// Tells it to end, and gives its log once it has ended well.
     pub fn end(mut self) -> String {
         self.signal("TERM");
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -53,6 +53,7 @@
         id: "gone".into(),
         target: PathAndQuery::from_static("/v1/chat/completions"),
         content_type: None,
+        idempotency_key: None,
         body: Bytes::from_static(b"{}"),
     };
     let (caller, answer) = Caller::new();
