Let a connection from a client follow its own state through heads, closes and shutdown

Seen in tests on sockets that crossed closes, before: a head that began on an idle connection was cut 2.1 s after the answer before it; half of a head at SIGTERM was closed over; a client that sent more behind its request and left was not noticed; the process ended before its last client had read the end. Wrong: the library's head timer runs from the last answer on and its graceful shutdown counts a connection with half of a head as idle; Line::idle came before the flush; Pending was dropped before leave(). Now the state (client_state) tells when a head is overdue and what still arrives, idleness follows the flush, and the process waits for leave().

--- a/src/main.rs
+++ b/src/main.rs
@@ -17,7 +17,7 @@
 use croftsill::node::front::serve;
 use croftsill::node::planner::Planner;
 use croftsill::node::pool::{Pool, Site};
-use croftsill::node::shutdown::Shutdown;
+use croftsill::node::shutdown::{Shutdown, Signals};
 use croftsill::node::{Clock, Core, reload, tend_fleet};
 use tokio::net::TcpListener;
 use tokio::signal::unix::Signal;
@@ -122,6 +122,7 @@
 async fn run() -> Result<(), StartError> {
     let clock = Clock::start();
     let hangups = reload::hangups()?;
+    let ends = Signals::listen()?;
     let shutdown = Shutdown::default();
     let chat = chat_file()?.map(|path| Chat::read(&path)).transpose()?;
     let path = std::env::var_os("LB_CONFIG").map(PathBuf::from);
@@ -146,7 +147,7 @@
     for (front, counters) in &counted {
         spawn_local(counters.clone().report(front));
     }
-    shutdown.run().await?;
+    shutdown.run(ends).await;
     for (front, counters) in counted {
         tracing::info!("counters of {front}: {}", counters.line());
     }
--- a/src/node/front/chat.rs
+++ b/src/node/front/chat.rs
@@ -15,7 +15,9 @@
 use serde_json::json;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use super::intake::{Arrival, BodyError, Intake, read_body};
+use super::body::{BodyError, read_body};
+use super::client_state::Arrival;
+use super::intake::Intake;
 use super::spiffe::Peer;
 use super::{Pieces, Reply, begin};
 use crate::api::*;
--- /dev/null
+++ b/src/node/front/connection.rs
@@ -0,0 +1,94 @@
+//! One client's connection, from its acceptance until its last byte has been read past.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+
+use http_body_util::Either;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use hyper_util::service::TowerToHyperService;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tower::{Service, ServiceExt};
+
+use super::client_state::ClientState;
+use super::client_stream::ClientStream;
+use super::intake::Place;
+use super::{BUFFER, Reply};
+use crate::node::shutdown::{Pending, STILL_ARRIVING, Shutdown};
+
+/// What holds a connection's place among the others and keeps the process from ending before it.
+pub type Held = (Place, Pending);
+
+/// One request of a connection: how it arrived is added, and a connection that cannot go on is closed behind it.
+async fn one_request<S>(
+    service: S, client: Rc<ClientState>, mut request: Request<Incoming>,
+) -> Result<Reply, Infallible>
+where
+    S: Service<Request<Incoming>, Response = Reply, Error = Infallible>,
+{
+    let arrival = client.taken(&request);
+    request.extensions_mut().insert(arrival);
+    let mut reply = service.oneshot(request).await?;
+    let unfit = reply.status().is_client_error() && reply.status() != StatusCode::TOO_MANY_REQUESTS;
+    if !client.answered(unfit) {
+        reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    match reply.body_mut() {
+        Either::Left(_) => client.answer_ends(),
+        Either::Right(pieces) => pieces.client = Some(client),
+    }
+    Ok(reply)
+}
+
+/// Serves a connection until its client leaves, it has stood idle, or the process ends.
+pub async fn serve_connection<I, S>(io: I, service: S, shutdown: Shutdown, held: Held)
+where
+    I: AsyncRead + AsyncWrite + Unpin + 'static,
+    S: Service<Request<Incoming>, Response = Reply, Error = Infallible> + Clone + 'static,
+{
+    let client = held.0.client.clone();
+    let stream = ClientStream::new(io, client.clone());
+    let last = stream.handle();
+    let of_request = client.clone();
+    let service = tower::service_fn(move |request| one_request(service.clone(), of_request.clone(), request));
+    let served = http1::Builder::new()
+        .max_buf_size(BUFFER)
+        .serve_connection(TokioIo::new(stream), TowerToHyperService::new(service));
+    // Its own box: what is left of the connection is let go of before the last bytes are read past.
+    let mut served = Box::pin(served);
+    let mut ending = Box::pin(async {
+        shutdown.begun().await;
+        // The library closes a connection that waits for a request at once, also over half of a head.
+        client.nothing_arriving(STILL_ARRIVING).await;
+    });
+    let mut overdue = Box::pin(client.overdue());
+    let mut closed = Box::pin(last.closed_behind_request());
+    let mut drains = false;
+    loop {
+        tokio::select! {
+            biased;
+            // First: a request that crosses this must not be begun and then dropped.
+            () = client.evicted() => return,
+            // A client that breaks off, or a stream that broke, is told by the request's own task.
+            ended = &mut served => {
+                if let Err(fault) = ended {
+                    tracing::debug!("intake: connection ended: {fault}");
+                }
+                break;
+            }
+            () = &mut overdue => break,
+            () = &mut closed => break,
+            () = &mut ending, if !drains => {
+                drains = true;
+                served.as_mut().graceful_shutdown();
+            }
+        }
+    }
+    drop((served, closed));
+    // The process stays until the client has read all: its end would reset what the client has not read.
+    last.leave().await;
+    drop(held);
+}
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -1,6 +1,10 @@
 //! Fronts: each reads requests in its own protocol and puts answers into its own words.
 
+pub mod body;
 pub mod chat;
+pub mod client_state;
+pub mod client_stream;
+pub mod connection;
 pub mod intake;
 pub mod platform;
 pub mod spiffe;
@@ -14,30 +18,26 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::{Either, Full};
 use hyper::body::{Body, Frame, Incoming};
-use hyper::header::{CONNECTION, HeaderValue};
-use hyper::server::conn::http1;
-use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::service::TowerToHyperService;
-use tokio::io::{AsyncRead, AsyncWrite};
+use hyper::{Request, Response};
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::timeout;
-use tower::{Service, ServiceExt};
+use tower::Service;
 
 use super::Core;
 use super::attempt::Payload;
 use super::relay::{Piece, StreamBroken};
 use super::request::{Answer, Caller, live};
-use super::shutdown::{Pending, STILL_ARRIVING, Shutdown};
+use super::shutdown::Shutdown;
 use crate::api::NewRequest;
-use intake::{BUFFER, BodyRoom, Framed, Intake, Line, Place, Stream};
+use client_state::{ClientState, HEAD_TIME};
+use connection::serve_connection;
+use intake::{BodyRoom, Intake};
 use spiffe::{Identities, Peer};
 
-/// For a client to send a head, or to stay idle between requests. After 2 s a connection without an open request may
-/// be closed, and one that says nothing is owed a close within 3 s.
-const HEAD_TIME: Duration = Duration::from_millis(2_100);
+/// Buffer of a client's connection; heads that are longer are refused.
+pub const BUFFER: usize = 32 * 1024;
 
 /// A front's answer: whole, or a stream.
 pub type Reply = Response<Either<Full<Bytes>, Pieces>>;
@@ -45,13 +45,13 @@
 /// A stream's body: pieces as they come, cut off where the stream broke.
 pub struct Pieces {
     pieces: mpsc::Receiver<Piece>,
-    line: Option<Rc<Line>>,
+    client: Option<Rc<ClientState>>,
 }
 
 impl Pieces {
     /// The body for a stream.
     pub fn new(pieces: mpsc::Receiver<Piece>) -> Self {
-        Pieces { pieces, line: None }
+        Pieces { pieces, client: None }
     }
 
     /// The whole of it in one piece.
@@ -66,7 +66,7 @@
 
 impl Drop for Pieces {
     fn drop(&mut self) {
-        self.line.iter().for_each(|line| line.idle());
+        self.client.iter().for_each(|client| client.answer_ends());
     }
 }
 
@@ -116,7 +116,7 @@
         let _ = socket.set_nodelay(true);
         let (place, pending) = (intake.enter(), shutdown.pending());
         match &tls {
-            None => drop(spawn_local(connection(
+            None => drop(spawn_local(serve_connection(
                 socket,
                 service(Peer::Unproven),
                 shutdown.clone(),
@@ -127,11 +127,11 @@
                 spawn_local(async move {
                     let proven = tokio::select! {
                         proven = timeout(HEAD_TIME, identities.prove(socket)) => proven,
-                        () = place.line.made_room() => return,
+                        () = place.client.evicted() => return,
                     };
                     match proven {
                         Ok(Ok((stream, peer))) => {
-                            connection(stream, service(peer), shutdown, (place, pending)).await;
+                            serve_connection(stream, service(peer), shutdown, (place, pending)).await;
                         }
                         Ok(Err(fault)) => {
                             tracing::warn!("intake: a client did not prove its identity: {fault}");
@@ -143,69 +143,3 @@
         }
     }
 }
-
-/// One request of a connection: how it arrived is added, and a connection that cannot go on is closed behind it.
-async fn one_request<S>(
-    service: S, line: Rc<Line>, mut request: Request<Incoming>,
-) -> Result<Reply, Infallible>
-where
-    S: Service<Request<Incoming>, Response = Reply, Error = Infallible>,
-{
-    let (arrival, framed) = (line.taken(&request), Framed::of(&request));
-    request.extensions_mut().insert(arrival);
-    let mut reply = service.oneshot(request).await?;
-    let unfit = reply.status().is_client_error() && reply.status() != StatusCode::TOO_MANY_REQUESTS;
-    if !line.answered(framed, unfit) {
-        reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-    }
-    match reply.body_mut() {
-        Either::Left(_) => line.idle(),
-        Either::Right(pieces) => pieces.line = Some(line),
-    }
-    Ok(reply)
-}
-
-async fn connection<I, S>(io: I, service: S, shutdown: Shutdown, (place, pending): (Place, Pending))
-where
-    I: AsyncRead + AsyncWrite + Unpin + 'static,
-    S: Service<Request<Incoming>, Response = Reply, Error = Infallible> + Clone + 'static,
-{
-    let line = place.line.clone();
-    let (used, mut first) = watch::channel(false);
-    let stream = Stream::new(io, line.clone());
-    let last = stream.handle();
-    let service = tower::service_fn(move |request| {
-        used.send_replace(true);
-        one_request(service.clone(), line.clone(), request)
-    });
-    let served = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIME)
-        .max_buf_size(BUFFER)
-        .serve_connection(TokioIo::new(stream), TowerToHyperService::new(service));
-    // Its own box: what is left of the connection is let go of before the last bytes are read past.
-    let mut served = Box::pin(served);
-    let ending = async {
-        shutdown.begun().await;
-        // Guards the requests that still arrive: the library closes a connection that has brought nothing
-        // yet at once, and the client's request with it.
-        let _ = timeout(STILL_ARRIVING, first.wait_for(|used| *used)).await;
-    };
-    // A client that breaks off, or a stream that broke, is told by the request's own task.
-    let ended = tokio::select! {
-        biased;
-        // First: a request that crosses this must not be begun and then dropped.
-        () = place.line.made_room() => return,
-        ended = &mut served => ended,
-        () = ending => {
-            served.as_mut().graceful_shutdown();
-            served.as_mut().await
-        }
-    };
-    if let Err(fault) = ended {
-        tracing::debug!("intake: connection ended: {fault}");
-    }
-    drop((served, pending));
-    last.leave().await;
-    drop(place);
-}
--- a/src/node/front/platform.rs
+++ b/src/node/front/platform.rs
@@ -16,7 +16,9 @@
 use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::intake::{Arrival, BodyError, Intake, read_body};
+use super::body::{BodyError, read_body};
+use super::client_state::Arrival;
+use super::intake::Intake;
 use super::{Pieces, Reply, begin};
 use crate::api::*;
 use crate::node::Core;
@@ -34,7 +36,7 @@
 const TIMEOUT_MOST: u64 = 3_600_000;
 /// When a client that found no room should come back.
 const SHED_WAIT: Micros = 1_000_000;
-/// Taken off a client's patience for the way of request and answer.
+/// Taken off a client's patience, which runs from the last byte of its request, for the way of request and answer.
 const ON_THE_WAY: Micros = 5_000;
 
 /// Why a request was turned down before it was taken in.
@@ -161,7 +163,6 @@
     }
 
     async fn complete(&self, mut request: Request<Incoming>) -> Result<Reply, Malformed> {
-        let arrived = tokio::time::Instant::now();
         if request.method() != Method::POST {
             return Err(Malformed::Method("POST"));
         }
@@ -179,7 +180,7 @@
             return Ok(self.shed());
         }
         let open = OpenId::take(&self.ids, &id).ok_or_else(|| Malformed::Duplicate(id.to_string()))?;
-        ask.time_left -= arrived.elapsed().as_micros() as Micros + ON_THE_WAY;
+        ask.time_left -= ON_THE_WAY;
         let target = request.uri().path_and_query().cloned().ok_or(Malformed::Path)?;
         let content_type = request.headers().get(CONTENT_TYPE).cloned();
         let idempotency_key = request.headers().get(IDEMPOTENCY_KEY).cloned();
--- a/src/node/shutdown.rs
+++ b/src/node/shutdown.rs
@@ -4,12 +4,34 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 
 /// For so long after SIGTERM clients may still open connections.
 pub const STILL_ARRIVING: Duration = Duration::from_millis(1_000);
 
+/// SIGTERM and SIGINT, which end the process in good order from the moment that this is made.
+pub struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    /// Takes the signals over.
+    pub fn listen() -> std::io::Result<Self> {
+        let (terminate, interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+        Ok(Signals { terminate, interrupt })
+    }
+
+    /// Waits for either.
+    async fn received(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
+
 /// Tells whether the process is ending, and counts what must be finished first.
 #[derive(Clone)]
 pub struct Shutdown {
@@ -58,20 +80,17 @@
         Pending(self.open.clone())
     }
 
-    /// Waits for SIGTERM or SIGINT, then until all that still arrives is finished.
-    pub async fn run(&self) -> std::io::Result<()> {
-        let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
-        tokio::select! {
-            _ = term.recv() => {}
-            _ = int.recv() => {}
-        }
+    /// Waits for a signal to end, then until all that still arrives is finished.
+    pub async fn run(&self, mut signals: Signals) {
+        signals.received().await;
         tracing::info!("shutdown: begun, {} connections and requests open", self.open.count.get());
         self.ending.send_replace(true);
         tokio::time::sleep(STILL_ARRIVING).await;
+        tracing::info!("shutdown: {} connections and requests still open", self.open.count.get());
         loop {
             let none = self.open.none.notified();
             if self.open.count.get() == 0 {
-                return Ok(());
+                return;
             }
             none.await;
         }
--- a/tests/common/peers.rs
+++ b/tests/common/peers.rs
@@ -149,6 +149,17 @@
         }
     }
 
+    /// The clients' requests that have come on connections beyond those accepted, once the program has ended.
+    pub fn requests_left(&self) -> usize {
+        let mut requests = 0;
+        while let Ok((socket, _)) = self.0.accept() {
+            socket.set_nonblocking(false).expect("a socket that is open");
+            let text = Connection::new(socket).rest_or_reset();
+            requests += text.matches("POST ").count();
+        }
+        requests
+    }
+
     /// Whether nobody has connected beyond what was accepted.
     pub fn is_untouched(&self) -> bool {
         matches!(self.0.accept(), Err(fault) if fault.kind() == ErrorKind::WouldBlock)
@@ -255,8 +266,6 @@
 
 /// A prefill server's answer to a prompt that it has read.
 pub const READ: &str = "HTTP/1.1 202 Accepted\r\nContent-Length: 19\r\n\r\n{\"cached_tokens\":0}";
-/// An answer to a call that lets go of what is held.
-pub const RELEASED: &str = "HTTP/1.1 204 No Content\r\n\r\n";
 /// The head of a stream, and its first event.
 pub const STREAM: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n\
                           f\r\ndata: {\"n\":1}\n\n\r\n";
--- /dev/null
+++ b/tests/crossings.rs
@@ -0,0 +1,363 @@
+//! What comes between two steps: requests, answers, closes and signals that cross each other on sockets.
+
+mod common;
+
+use common::peers::{Connection, END, Listener, READ, STREAM, client, list, request, start};
+use common::program::{address, target};
+
+/// Plays the prefill of a request at a server, on a connection that stays open.
+fn prefill(server: &Listener, id: &str) -> Connection {
+    let mut connection = server.accept();
+    let asked = connection.message();
+    assert_eq!(asked.header("request-id"), Some(id), "{asked:?}");
+    connection.send(READ);
+    connection
+}
+
+/// Takes a request at a decode server, and starts its stream.
+fn decode(server: &Listener, id: &str) -> Connection {
+    let mut connection = server.accept();
+    let asked = connection.message();
+    assert_eq!(asked.header("request-id"), Some(id), "{asked:?}");
+    connection.send(STREAM);
+    connection
+}
+
+#[test]
+fn a_stream_that_is_open_at_sigterm_reaches_its_end_and_no_resting_connection_is_read_further() {
+    let base = address();
+    let (prefills, decodes) = (Listener::instance(&base, "r1"), Listener::instance(&base, "w1"));
+    let (mut program, _discovery, _watch) = start(&base, &["r1", "w1"], &[]);
+    let mut resting = client(&base);
+    resting.send("GET /-/ready HTTP/1.1\r\nHost: app.svc\r\n\r\n");
+    assert!(resting.message().head.starts_with("HTTP/1.1 200"));
+    let mut streaming = client(&base);
+    streaming.send(&request("s1", "climb-query", 6_000));
+    let _prefill = prefill(&prefills, "s1");
+    let mut stream = decode(&decodes, "s1");
+    streaming.reads_until("data: {\"n\":1}\n\n");
+
+    program.signal("TERM");
+    program.logs("shutdown: begun");
+    assert_eq!(resting.rest(), "", "a resting connection ends without an answer");
+    // It crosses the close: it is not read, so its client may send it again elsewhere.
+    resting.send_into_the_close(&request("late", "climb-query", 6_000));
+    stream.send(END);
+    streaming.reads_until("data: [DONE]\n\n");
+    streaming.reads_until("0\r\n\r\n");
+    streaming.close();
+    resting.close();
+    let log = program.ended(true);
+    assert!(log.contains("\"taken\":1,"), "{log}");
+    assert!(prefills.is_untouched(), "the late request was sent on");
+}
+
+#[test]
+fn a_new_connection_after_sigterm_is_served() {
+    let base = address();
+    let (prefills, decodes) = (Listener::instance(&base, "r1"), Listener::instance(&base, "w1"));
+    let (mut program, _discovery, _watch) = start(&base, &["r1", "w1"], &[]);
+    program.signal("TERM");
+    program.logs("shutdown: begun");
+    let mut late = client(&base);
+    late.send(&request("n1", "climb-query", 6_000));
+    let _prefill = prefill(&prefills, "n1");
+    let mut stream = decode(&decodes, "n1");
+    stream.send(END);
+    late.reads_until("0\r\n\r\n");
+    late.close();
+    program.ended(true);
+}
+
+#[test]
+fn a_request_whose_head_is_half_read_at_sigterm_is_answered() {
+    let base = address();
+    let (prefills, decodes) = (Listener::instance(&base, "r1"), Listener::instance(&base, "w1"));
+    let (mut program, _discovery, _watch) = start(&base, &["r1", "w1"], &[]);
+    let mut slow = client(&base);
+    slow.send("GET /-/ready HTTP/1.1\r\nHost: app.svc\r\n\r\n");
+    slow.message();
+    let text = request("h1", "climb-query", 6_000);
+    let (first, second) = text.split_at(40);
+    slow.send(first);
+    // Asked behind it, so what stands above has been read when this is answered.
+    let mut other = client(&base);
+    other.send("GET /-/ready HTTP/1.1\r\nHost: app.svc\r\n\r\n");
+    other.message();
+    program.signal("TERM");
+    program.logs("shutdown: begun");
+    assert_eq!(other.rest(), "");
+    slow.send(second);
+    let _prefill = prefill(&prefills, "h1");
+    let mut stream = decode(&decodes, "h1");
+    stream.send(END);
+    slow.reads_until("0\r\n\r\n");
+    slow.close();
+    other.close();
+    program.ended(true);
+}
+
+#[test]
+fn the_process_stays_until_its_last_client_has_read_the_end() {
+    let base = address();
+    let (prefills, decodes) = (Listener::instance(&base, "r1"), Listener::instance(&base, "w1"));
+    let (mut program, _discovery, _watch) = start(&base, &["r1", "w1"], &[]);
+    let mut last = client(&base);
+    last.send(&request("e1", "climb-query", 6_000));
+    let _prefill = prefill(&prefills, "e1");
+    let mut stream = decode(&decodes, "e1");
+    last.reads_until("data: {\"n\":1}\n\n");
+    program.signal("TERM");
+    program.logs("still open");
+    stream.send(END);
+    last.reads_until("0\r\n\r\n");
+    assert_eq!(last.rest(), "");
+    assert!(program.runs(), "it ended while a client could still send");
+    // Bytes that cross the close meet a socket that is read, not a reset.
+    last.send("GET / HT");
+    last.close();
+    program.ended(true);
+}
+
+#[test]
+fn a_head_that_begins_on_an_idle_connection_has_its_own_time() {
+    let base = address();
+    let (prefills, decodes) = (Listener::instance(&base, "r1"), Listener::instance(&base, "w1"));
+    let (program, _discovery, _watch) = start(&base, &["r1", "w1"], &[]);
+    let mut slow = client(&base);
+    slow.send("GET /-/ready HTTP/1.1\r\nHost: app.svc\r\n\r\n");
+    slow.message();
+    let text = request("i1", "climb-query", 6_000);
+    let (first, second) = text.split_at(40);
+    // Two pauses that are short of what one may last, and together longer.
+    std::thread::sleep(std::time::Duration::from_millis(1_300));
+    slow.send(first);
+    std::thread::sleep(std::time::Duration::from_millis(1_300));
+    slow.send(second);
+    let _prefill = prefill(&prefills, "i1");
+    let mut stream = decode(&decodes, "i1");
+    stream.send(END);
+    slow.reads_until("0\r\n\r\n");
+    slow.close();
+    program.end();
+}
+
+#[test]
+fn a_client_that_sends_more_behind_its_request_and_leaves_is_noticed() {
+    let base = address();
+    let (prefills, decodes) = (Listener::instance(&base, "r1"), Listener::instance(&base, "w1"));
+    let (mut program, _discovery, _watch) = start(&base, &["r1", "w1"], &[]);
+    let mut leaving = client(&base);
+    leaving.send(&(request("p1", "climb-query", 6_000) + &request("p2", "climb-query", 6_000)));
+    let mut asked = prefills.accept();
+    assert_eq!(asked.message().header("request-id"), Some("p1"));
+    leaving.close();
+    program.logs("request p1: its client left");
+    // The attempt is withdrawn: its connection ends, and nothing else is sent than the call that lets go of it.
+    assert_eq!(asked.rest_or_reset(), "");
+    program.logs("request p1: letting go of what is held");
+    let log = program.end();
+    assert!(log.contains("\"taken\":1,"), "{log}");
+    assert_eq!(prefills.requests_left(), 0);
+    assert_eq!(decodes.requests_left(), 0);
+}
+
+#[test]
+fn nothing_is_sent_for_a_client_that_leaves_between_two_attempts() {
+    let base = address();
+    let (prefills, decodes) = (Listener::instance(&base, "r1"), Listener::instance(&base, "w1"));
+    // Nothing can be withdrawn here, so an attempt that is out goes on after its client has left.
+    let (mut program, _discovery, _watch) =
+        start(&base, &["r1", "w1"], &[("\"cancelling\": true", "\"cancelling\": false")]);
+    let mut leaving = client(&base);
+    leaving.send(&request("b1", "climb-query", 6_000));
+    let mut asked = prefills.accept();
+    asked.message();
+    leaving.close();
+    program.logs("request b1: its client left");
+    asked.send(READ);
+    // On the same connection or on another one: what is held is let go of, and no decode server hears of it.
+    program.logs("request b1: letting go of what is held");
+    program.end();
+    assert_eq!(decodes.requests_left(), 0, "sent on after its client had left");
+}
+
+#[test]
+fn nothing_is_sent_for_a_client_that_leaves_while_its_request_is_held() {
+    let base = address();
+    let prefills = Listener::instance(&base, "r1");
+    // No decode server is known, so the request waits.
+    let (mut program, _discovery, mut watch) = start(&base, &["r1"], &[]);
+    let mut leaving = client(&base);
+    leaving.send(&request("q1", "climb-query", 6_000));
+    program.logs("request q1: taken");
+    leaving.close();
+    program.logs("request q1: its client left");
+    let _decodes = Listener::instance(&base, "w1");
+    let added = list(2, false, &[target(&base, "w1", "Ready")]);
+    watch.send(&(added + "\n"));
+    program.logs("discovery: w1 is Ready");
+    program.end();
+    assert!(prefills.is_untouched(), "sent on after its client had left");
+}
+
+#[test]
+fn a_kept_connection_that_ends_as_it_is_used_again_costs_no_request() {
+    let base = address();
+    let (prefills, decodes) = (Listener::instance(&base, "r1"), Listener::instance(&base, "w1"));
+    let (program, _discovery, _watch) = start(&base, &["r1", "w1"], &[]);
+    let mut first = client(&base);
+    first.send(&request("k1", "climb-query", 6_000));
+    let mut kept = prefill(&prefills, "k1");
+    let mut stream = decode(&decodes, "k1");
+    stream.send(END);
+    first.reads_until("0\r\n\r\n");
+    // Half of an answer to nothing, as from a server that goes down while its connection rests.
+    kept.send("HTTP/1.1 50");
+    kept.close();
+    first.send(&request("k2", "climb-query", 6_000));
+    let _prefill = prefill(&prefills, "k2");
+    let mut stream = decode_on_any(&decodes, stream, "k2");
+    stream.send(END);
+    first.reads_until("0\r\n\r\n");
+    first.close();
+    program.end();
+}
+
+/// Takes a request at a decode server, on the connection that it kept or on a new one.
+fn decode_on_any(server: &Listener, kept: Connection, id: &str) -> Connection {
+    drop(kept);
+    decode(server, id)
+}
+
+#[test]
+fn half_a_line_and_a_close_instead_of_an_answer_are_followed_by_one_more_attempt() {
+    let base = address();
+    let (prefills, decodes) = (Listener::instance(&base, "r1"), Listener::instance(&base, "w1"));
+    let (program, _discovery, _watch) = start(&base, &["r1", "w1"], &[]);
+    let mut asking = client(&base);
+    asking.send(&request("l1", "climb-query", 6_000));
+    let _prefill = prefill(&prefills, "l1");
+    let mut broken = decodes.accept();
+    broken.message();
+    broken.send("HTTP/1.1 200 O");
+    broken.close();
+    let mut stream = decode(&decodes, "l1");
+    stream.send(END);
+    asking.reads_until("0\r\n\r\n");
+    asking.close();
+    program.end();
+}
+
+#[test]
+fn an_event_is_passed_on_while_the_next_one_has_only_begun() {
+    let base = address();
+    let (prefills, decodes) = (Listener::instance(&base, "r1"), Listener::instance(&base, "w1"));
+    let (program, _discovery, _watch) = start(&base, &["r1", "w1"], &[]);
+    let mut asking = client(&base);
+    asking.send(&request("v1", "climb-query", 6_000));
+    let _prefill = prefill(&prefills, "v1");
+    let mut stream = decode(&decodes, "v1");
+    asking.reads_until("data: {\"n\":1}\n\n");
+    // One event and the beginning of another in one chunk.
+    stream.send("16\r\ndata: {\"n\":2}\n\ndata: {\r\n");
+    asking.reads_until("data: {\"n\":2}\n\n");
+    stream.send("8\r\n\"n\":3}\n\n\r\n");
+    asking.reads_until("data: {\"n\":3}\n\n");
+    stream.send(END);
+    asking.reads_until("0\r\n\r\n");
+    asking.close();
+    program.end();
+}
+
+#[test]
+fn a_refusal_whose_body_never_ends_is_followed_by_the_next_attempt_at_once() {
+    let base = address();
+    let (prefills, decodes) = (Listener::instance(&base, "r1"), Listener::instance(&base, "w1"));
+    let (mut program, _discovery, _watch) = start(&base, &["r1", "w1"], &[]);
+    let mut asking = client(&base);
+    asking.send(&request("u1", "climb-query", 6_000));
+    let _prefill = prefill(&prefills, "u1");
+    let mut endless = decodes.accept();
+    endless.message();
+    endless.send("HTTP/1.1 503 Service Unavailable\r\nNot-Started: 1\r\nContent-Length: 9\r\n\r\nfu");
+    program.logs("attempt 1 ended Full");
+    let mut stream = decode(&decodes, "u1");
+    stream.send(END);
+    asking.reads_until("0\r\n\r\n");
+    asking.close();
+    let log = program.end();
+    assert!(log.contains("\"attempts_timed_out\":0,"), "{log}");
+}
+
+#[test]
+fn a_watch_that_is_reset_or_falls_silent_is_opened_anew_from_the_version_that_is_known() {
+    let base = address();
+    let (mut program, mut discovery, mut watch) = start(&base, &["r1", "w1"], &[]);
+    let drains = list(7, false, &[target(&base, "w1", "Terminating")]);
+    watch.send(&(drains + "\n"));
+    program.logs("discovery: w1 is Terminating");
+    // Half a line, and then a close.
+    watch.send("{\"version\":8,\"fu");
+    watch.connection.close();
+    let mut silent = discovery.opens_watch();
+    assert_eq!(silent.since, "7");
+    // From here on it stays open and says nothing; its successor has to come by itself.
+    let mut next = discovery.opens_watch();
+    assert_eq!(next.since, "7");
+    next.send(&(list(8, false, &[target(&base, "r1", "Terminating")]) + "\n"));
+    program.logs("discovery: r1 is Terminating");
+    assert_eq!(silent.connection.rest_or_reset(), "", "the silent watch was left open");
+    program.end();
+}
+
+#[test]
+fn a_list_that_comes_in_pieces_and_over_several_lines_is_taken_in() {
+    let base = address();
+    let (mut program, _discovery, mut watch) = start(&base, &["r1", "w1"], &[]);
+    let indented =
+        list(2, false, &[target(&base, "w1", "Terminating")]).replace(',', ",\n  ").replace('[', "[\n ");
+    let (first, second) = indented.split_at(60);
+    watch.send(first);
+    watch.send(second);
+    watch.send("\n\n");
+    program.logs("discovery: w1 is Terminating");
+    let two = list(3, false, &[target(&base, "r1", "Terminating")])
+        + "\n"
+        + &list(4, false, &[target(&base, "w1", "Gone")])
+        + "\n";
+    watch.send(&two);
+    program.logs("discovery: r1 is Terminating");
+    program.logs("discovery: w1 is Gone");
+    let log = program.end();
+    assert!(!log.contains("watch lost"), "{log}");
+}
+
+#[test]
+fn a_drain_told_right_after_a_move_of_discovery_is_kept() {
+    let base = address();
+    let prefills = Listener::instance(&base, "r1");
+    let decodes = Listener::instance(&base, "w1");
+    let (mut program, _discovery, mut old) = start(&base, &["r1", "w1", "w2"], &[]);
+    let mut moved = common::peers::Discovery::moved(&base, "discovery-2");
+    common::program::configured(&base, common::program::port("discovery-2"));
+    program.signal("HUP");
+    moved.serves_list(&[
+        target(&base, "r1", "Ready"),
+        target(&base, "w2", "Terminating"),
+        target(&base, "w1", "Ready"),
+    ]);
+    let _watch = moved.opens_watch();
+    program.logs("discovery: moved to");
+    // What the old one still says counts no more: its connection has been given up.
+    old.connection.send_into_the_close("1\r\n\n\r\n");
+    assert_eq!(old.connection.rest_or_reset(), "");
+    let mut asking = client(&base);
+    asking.send(&request("d1", "climb-query", 6_000));
+    let _prefill = prefill(&prefills, "d1");
+    let mut stream = decode(&decodes, "d1");
+    stream.send(END);
+    asking.reads_until("0\r\n\r\n");
+    asking.close();
+    program.end();
+}
