Begin no attempt after its repeat window, or at a host that drains by then

Wrong: may_run_at took the moment of the decision for that of the send, and exchange() wrote whatever had waited for a connection. Now a repeat has to begin 100 ms before the window's end, Action::Send tells the node until when, and the node looks once more, also at whether the host drains, when it has its connection.

With it the life of a request is split by state (run_request, RequestTask), what it holds has an owner of its own (held), and Seat, live and Parted have plain names. A request without a decision at its deadline is answered also while an attempt is out.

--- a/src/api.rs
+++ b/src/api.rs
@@ -347,6 +347,8 @@
         host: HostId,
         /// Give the attempt up after this long without a first answer.
         time_out: Micros,
+        /// Where a repeat is dropped only for a while: it must begin within this time, or not at all.
+        start_within: Option<Micros>,
     },
     /// Withdraw an attempt.
     Cancel {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -61,6 +61,7 @@
 const SEEN_LEAST: f64 = 0.1; // part of a whole view of the arrivals that is believed: a second's worth
 const QUOTA_SLACK: f64 = 1.25; // multiple of an even part of a quota let through: traffic is not even
 const QUOTA_BURST: f64 = 2e6; // of quota that may be used at once
+const REPEAT_MARGIN: Micros = 100_000; // of a repeat's window: a handshake and the way to the instance
 const ANSWER_MARGIN: Micros = 10_000; // before the deadline at which what is held is answered
 const REPORT: Micros = 1_000_000; // for which a host's report holds: none is made anew more seldom
 const ASK_WAIT: Micros = 15_000; // for an answer: two ways and a handshake, little against any aim
@@ -455,18 +456,15 @@
     ) {
         self.place(id, writer);
         let unread = self.unread_at(&self.hosts[&reader.unwrap_or(writer)], &self.requests[&id]);
-        if let Some(r) = self.requests.get_mut(&id) {
-            (r.from_low, r.unread) = (r.stage == Stage::Low, unread);
-        }
+        self.requests.entry(id).and_modify(|r| (r.from_low, r.unread) = (r.stage == Stage::Low, unread));
         let Some(reader) = reader else { return self.send_write(now, id, writer, out) };
         let (r, host) = (&self.requests[&id], &self.hosts[&reader]);
         // What is not kept there after all takes longer, and is no silence.
         let cold = (r.ask.prompt_tokens - unread).max(0.0) * self.read_cost;
         let (expected, load) =
             (self.read_time(now, host, r) + cold, self.reading(host) + unread + READ_EXTRA);
-        if let Some(r) = self.requests.get_mut(&id) {
-            (r.stage, r.reader, r.read_load) = (Stage::Reading, Some(reader), load);
-        }
+        let read = |r: &mut Request| (r.stage, r.reader, r.read_load) = (Stage::Reading, Some(reader), load);
+        self.requests.entry(id).and_modify(read);
         self.send(now, id, reader, expected, out);
     }
 
@@ -687,7 +685,12 @@
             host.pending.insert(id, now);
         }
         host.unused_since = now;
-        out.push(Action::Send { request: id, host: to, time_out: time_out.max(1) });
+        let (_, since) = r.may_have_run.filter(|_| host.role != Role::Read).unzip();
+        let start_within = match self.set.classes[r.ask.class.0].effect {
+            Effect::Keyed(_, window) => since.map(|since| since + window - REPEAT_MARGIN - now),
+            _ => None,
+        };
+        out.push(Action::Send { request: id, host: to, time_out: time_out.max(1), start_within });
     }
 
     fn began(&mut self, now: Micros, id: RequestId, at: HostId, took: Micros) {
@@ -761,9 +764,7 @@
                     reader.stuck_until = now + STUCK_REST;
                 }
                 r.may_have_run = r.may_have_run.or(ran.then_some((at, sent_at)));
-                if r.reader.is_none() {
-                    self.hold(id);
-                } else if outcome == Outcome::Spoilt || stuck {
+                if r.reader.is_none() || outcome == Outcome::Spoilt || stuck {
                     // An answer had begun, so the state has moved: another writer would have none. Or nobody
                     // can fetch it where it is.
                     out.push(Action::Release(id));
@@ -875,9 +876,8 @@
         }
         let repeats =
             matches!(self.set.classes[r.ask.class.0].effect, Effect::Safe | Effect::Keyed(Group::All, _));
-        let harmless = repeats || r.may_have_run.is_none();
         let refusal = Action::Refuse { request: id, come_back: self.set.limits.come_back };
-        out.push(if harmless { refusal } else { Action::Fail(id) });
+        out.push(if repeats || r.may_have_run.is_none() { refusal } else { Action::Fail(id) });
         self.forget(id);
     }
 
@@ -886,7 +886,7 @@
         let Some((ran_at, since)) = r.may_have_run else { return true };
         let group = match self.set.classes[r.ask.class.0].effect {
             Effect::Safe => return true,
-            Effect::Keyed(group, window) if now < since + window => group,
+            Effect::Keyed(group, window) if now < since + window - REPEAT_MARGIN => group,
             _ => return false,
         };
         let (Some(a), Some(b)) = (self.hosts.get(&ran_at), self.hosts.get(&at)) else { return false };
--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -62,6 +62,15 @@
     }
 }
 
+/// The times of an attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    /// Until when its first event is waited for.
+    pub until: Instant,
+    /// When it must have begun, if it may not begin at any time.
+    pub start_by: Option<Instant>,
+}
+
 /// What an attempt came to before any event was passed on.
 pub enum First {
     /// The stream has begun.
@@ -148,14 +157,15 @@
         matches!(self.dialect, Dialect::Platform)
     }
 
-    /// Sends the request to a host and waits until `until` for what it comes to. Dropping the future gives the
+    /// Sends the request to a host and waits as its times say for what it comes to. Dropping the future gives the
     /// attempt up: its connection closes.
     pub async fn first(
-        self: &Rc<Self>, host: HostId, payload: &Payload, until: Instant, progress: &Progress,
+        self: &Rc<Self>, host: HostId, payload: &Payload, times: Times, progress: &Progress,
     ) -> (First, Option<Load>) {
         add(&self.counters.attempts);
         let (begun, mut written) = (Instant::now(), None);
-        match timeout_at(until, self.exchange(host, payload, until, (&mut written, progress))).await {
+        let exchange = self.exchange(host, payload, times, (&mut written, progress));
+        match timeout_at(times.until, exchange).await {
             Ok((First::Ended(outcome), load)) => {
                 if matches!(outcome, Outcome::Unreachable | Outcome::Broken) {
                     self.pool.distrust(host);
@@ -172,7 +182,7 @@
     }
 
     async fn exchange(
-        self: &Rc<Self>, host: HostId, payload: &Payload, until: Instant,
+        self: &Rc<Self>, host: HostId, payload: &Payload, times: Times,
         (written, progress): (&mut Option<WriteMark>, &Progress),
     ) -> (First, Option<Load>) {
         let ended = |outcome| (First::Ended(outcome), None);
@@ -186,11 +196,17 @@
                 self.pool.keep(host, connection);
                 return ended(Outcome::Moot);
             }
+            // The wait for a connection may have been too long: for the repeat, or for a host that now drains.
+            let late = times.start_by.is_some_and(|by| Instant::now() >= by);
+            if late || !self.pool.site(host).is_some_and(|site| site.ready) {
+                self.pool.keep(host, connection);
+                return ended(Outcome::Unreachable);
+            }
             progress.writing.set(true);
             let (body, mark) = connection.body(payload.body.clone());
             *written = Some(mark.clone());
             let mut request = Request::new(body);
-            self.head(host, payload, until, &mut request);
+            self.head(host, payload, times.until, &mut request);
             match connection.sender().try_send_request(request).await {
                 Ok(response) => break (connection, response),
                 // The library gives back a request of which it has written nothing; only then, and only for a
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -28,7 +28,7 @@
 use super::Core;
 use super::attempt::Payload;
 use super::relay::{Piece, StreamBroken};
-use super::request::{Answer, Caller, live};
+use super::request::{Answer, Caller, run_request};
 use super::shutdown::Shutdown;
 use crate::api::NewRequest;
 use client_state::{ClientState, HEAD_TIME};
@@ -89,7 +89,7 @@
     let (caller, answer) = Caller::new();
     let core = core.clone();
     spawn_local(async move {
-        live(core, ask, payload, caller).await;
+        run_request(core, ask, payload, caller).await;
         drop(keep);
     });
     answer
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -10,6 +10,7 @@
 pub mod discovery;
 pub mod events;
 pub mod front;
+pub mod held;
 pub mod planner;
 pub mod pool;
 pub mod relay;
--- a/src/node/planner.rs
+++ b/src/node/planner.rs
@@ -10,11 +10,22 @@
 use crate::api::*;
 use crate::logic::Router;
 
+/// Where an attempt goes, and in which times.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SendOrder {
+    /// To which host.
+    pub host: HostId,
+    /// It is given up after this long.
+    pub time_out: Micros,
+    /// It must begin within this time, or not at all.
+    pub start_within: Option<Micros>,
+}
+
 /// What a planner wants of a request's task.
 #[derive(Debug, PartialEq)]
 pub enum Order {
-    /// Send it to a host; give the attempt up after this long.
-    Send(HostId, Micros),
+    /// Send it to a host.
+    Send(SendOrder),
     /// Withdraw an attempt.
     Cancel(AttemptId),
     /// Final answer: refused, to come back after this long.
@@ -26,7 +37,7 @@
     /// End its running stream, to be resumed elsewhere.
     Move,
     /// The planner knows that the client left and sends nothing more.
-    Parted,
+    Forgotten,
 }
 
 /// What a planner wants of the fleet as a whole.
@@ -56,25 +67,25 @@
     pub fn start(settings: Settings, seed: u64, clock: Clock) -> (Self, UnboundedReceiver<FleetOrder>) {
         let (inputs, inbox) = mpsc::unbounded_channel();
         let (fleet, fleet_orders) = mpsc::unbounded_channel();
-        let desk = Desk {
+        let worker = Worker {
             router: Router::new(settings, seed),
             clock,
-            seats: HashMap::new(),
+            requests: HashMap::new(),
             inputs: inputs.clone(),
             fleet,
         };
-        tokio::task::spawn_local(desk.run(inbox));
+        tokio::task::spawn_local(worker.run(inbox));
         (Planner { inputs, next_id: Rc::default() }, fleet_orders)
     }
 
     /// Brings a new request; its id is given here.
-    pub fn arrive(&self, mut ask: NewRequest) -> Seat {
+    pub fn arrive(&self, mut ask: NewRequest) -> RequestHandle {
         let id = RequestId(self.next_id.get() + 1);
         self.next_id.set(id.0);
         ask.id = id;
         let (sender, orders) = mpsc::unbounded_channel();
         self.put(Input::Arrive(ask, sender));
-        Seat { id, planner: self.clone(), orders }
+        RequestHandle { id, planner: self.clone(), orders }
     }
 
     /// Tells the list of hosts, whole or only its changes.
@@ -110,13 +121,13 @@
 }
 
 /// A request's place at its planner, given back when dropped.
-pub struct Seat {
+pub struct RequestHandle {
     id: RequestId,
     planner: Planner,
     orders: UnboundedReceiver<Order>,
 }
 
-impl Seat {
+impl RequestHandle {
     /// The next order; without a planner there is none, and the request has failed.
     pub async fn next(&mut self) -> Order {
         self.orders.recv().await.unwrap_or(Order::Fail)
@@ -134,42 +145,42 @@
         self.planner.put(Input::Tell(event));
     }
 
-    /// Tells that the client left; [`Order::Parted`] follows.
+    /// Tells that the client left; [`Order::Forgotten`] follows.
     pub fn left(&self) {
         self.planner.put(Input::Tell(Event::Left(self.id)));
     }
 }
 
-impl Drop for Seat {
+impl Drop for RequestHandle {
     fn drop(&mut self) {
         self.planner.put(Input::Closed(self.id));
     }
 }
 
-struct Desk {
+struct Worker {
     router: Router,
     clock: Clock,
-    seats: HashMap<RequestId, UnboundedSender<Order>>,
+    requests: HashMap<RequestId, UnboundedSender<Order>>,
     inputs: UnboundedSender<Input>,
     fleet: UnboundedSender<FleetOrder>,
 }
 
-impl Desk {
+impl Worker {
     async fn run(mut self, mut inbox: UnboundedReceiver<Input>) {
         let (mut inputs, mut events, mut actions) = (Vec::new(), Vec::new(), Vec::new());
         // Everything that has come in is one round, as a batch is for the adapter.
         while inbox.recv_many(&mut inputs, 256).await > 0 {
-            let mut parted = Vec::new();
+            let mut left = Vec::new();
             let mut closed = Vec::new();
             for input in inputs.drain(..) {
                 match input {
-                    Input::Arrive(ask, seat) => {
-                        self.seats.insert(ask.id, seat);
+                    Input::Arrive(ask, orders) => {
+                        self.requests.insert(ask.id, orders);
                         events.push(Event::Request(ask));
                     }
                     Input::Tell(event) => {
                         if let Event::Left(id) = event {
-                            parted.push(id);
+                            left.push(id);
                         }
                         events.push(event);
                     }
@@ -181,14 +192,16 @@
             for action in actions.drain(..) {
                 self.act(action);
             }
-            parted.into_iter().for_each(|id| self.order(id, Order::Parted));
-            closed.iter().for_each(|id| drop(self.seats.remove(id)));
+            left.into_iter().for_each(|id| self.order(id, Order::Forgotten));
+            closed.iter().for_each(|id| drop(self.requests.remove(id)));
         }
     }
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Send { request, host, time_out } => self.order(request, Order::Send(host, time_out)),
+            Action::Send { request, host, time_out, start_within } => {
+                self.order(request, Order::Send(SendOrder { host, time_out, start_within }));
+            }
             Action::Cancel { request, attempt } => self.order(request, Order::Cancel(attempt)),
             Action::Refuse { request, come_back } => self.order(request, Order::Refuse(come_back)),
             Action::Fail(request) => self.order(request, Order::Fail),
@@ -211,8 +224,8 @@
 
     /// A request whose task has ended needs no orders.
     fn order(&self, id: RequestId, order: Order) {
-        if let Some(seat) = self.seats.get(&id) {
-            let _ = seat.send(order);
+        if let Some(orders) = self.requests.get(&id) {
+            let _ = orders.send(order);
         }
     }
 }
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -4,22 +4,19 @@
 use std::time::Duration;
 
 use tokio::sync::{mpsc, oneshot};
-use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until};
 
-use super::attempt::{First, Payload, Progress};
+use super::attempt::{First, Payload, Progress, Times};
 use super::counters::add;
-use super::events::Form;
-use super::planner::{End, Order, Seat};
+use super::events::{Events, Form};
+use super::held::HeldState;
+use super::planner::{End, Order, RequestHandle, SendOrder};
 use super::relay::{self, Passed, Piece, StreamBroken};
-use super::release::release;
 use super::{Core, span};
-use crate::api::{AttemptId, HostId, Load, Micros, NewRequest, Outcome};
+use crate::api::{AttemptId, Load, Micros, NewRequest, Outcome};
 
 /// Past the deadline, after which a request without a decision is answered as failed. The rules allow more.
 const OVERDUE: Duration = Duration::from_millis(15);
-/// For a release before the next read: a later one would let go of that read's state.
-const RELEASE_FIRST: Duration = Duration::from_millis(250);
 
 /// A request's answer, for a front to put into its own words.
 pub enum Answer {
@@ -64,192 +61,276 @@
 }
 
 /// What a request's task wakes up for.
-enum Next {
+enum Wake {
     Order(Order),
     ClientLeft,
     Overdue,
 }
 
-async fn next(seat: &mut Seat, caller: &mut Caller, overdue: Instant, over: bool) -> Next {
-    tokio::select! {
-        biased;
-        order = seat.next() => Next::Order(order),
-        () = caller.left(), if !over => Next::ClientLeft,
-        () = sleep_until(overdue), if !over => Next::Overdue,
-    }
+/// One attempt that is out, for its outcome and the log.
+#[derive(Clone, Copy)]
+struct Attempt {
+    id: AttemptId,
+    send: SendOrder,
+    begun: Instant,
 }
 
-/// What may be held for the request, and the release that is under way.
-struct Held<'a> {
-    core: &'a Core,
-    id: Rc<str>,
-    any: bool,
-    under_way: Option<JoinHandle<()>>,
+/// What follows after an attempt.
+enum Next {
+    /// The planner decides on.
+    Decision,
+    /// The request has its final answer.
+    Final,
+    /// The stream has begun.
+    Stream(Box<Events>, Attempt),
 }
 
-impl Held<'_> {
-    /// Starts to let go of all that is held.
-    fn release(&mut self) {
-        if std::mem::take(&mut self.any) && self.core.upstream.holds() {
-            tracing::debug!("request {}: letting go of what is held", self.id);
-            let call = release(self.core.upstream.clone(), self.id.clone());
-            self.under_way = Some(tokio::task::spawn_local(call));
-        }
-    }
-
-    /// Before a new read: a `DELETE` frees all that the request holds, so one that arrives late would free the
-    /// new state. It is done, or its connection closed, before the read is sent.
-    async fn settle(&mut self) {
-        self.release();
-        let Some(call) = &mut self.under_way else { return };
-        if timeout(RELEASE_FIRST, &mut *call).await.is_err() {
-            call.abort();
-            self.any = true;
-        }
-        self.under_way = None;
-    }
+/// One request on its way: it owns the request's place at the planner, the way back to its client, and what is held
+/// for it.
+struct RequestTask {
+    core: Core,
+    id: Rc<str>,
+    handle: RequestHandle,
+    caller: Caller,
+    held: HeldState,
+    deadline: Instant,
+    /// Its answer comes in one piece.
+    whole: bool,
+    attempts: u32,
+    /// The client needs no answer any more; the planner has been told so.
+    over: bool,
 }
 
 /// Lives one request through. The planner decides at each point of choice; exactly one final answer goes to the
 /// caller, and nothing stays held or sent when this ends. `room` is what the payload takes up, given back with it.
-pub async fn live<R>(core: Core, ask: NewRequest, (payload, room): (Payload, R), mut caller: Caller) {
-    let deadline = Instant::now() + span(ask.time_left);
-    let overdue = deadline + OVERDUE;
-    let counters = core.counters.clone();
-    let mut held = Held { core: &core, id: payload.id.clone(), any: false, under_way: None };
-    let whole = ask.whole;
+pub async fn run_request<R>(core: Core, ask: NewRequest, (payload, room): (Payload, R), caller: Caller) {
+    let id = payload.id.clone();
     tracing::debug!(
-        "request {}: taken, {} tokens, {} of them shared, {} ms left",
-        payload.id,
+        "request {id}: taken, {} tokens, {} of them shared, {} ms left",
         ask.prompt_tokens,
         ask.prefix_tokens,
         ask.time_left / 1_000
     );
-    let mut seat = core.planner.arrive(ask);
-    let mut sent = 0;
-    // The client needs no answer any more; the planner has been told so.
-    let mut over = false;
-    add(&counters.taken);
+    add(&core.counters.taken);
+    let mut task = RequestTask {
+        held: HeldState::new(core.upstream.clone(), id.clone()),
+        deadline: Instant::now() + span(ask.time_left),
+        whole: ask.whole,
+        handle: core.planner.arrive(ask),
+        attempts: 0,
+        over: false,
+        core,
+        id,
+        caller,
+    };
+    if let Some((events, attempt)) = task.until_stream(&payload).await {
+        // It is never sent again, so the payload, far larger than the events that wait, goes now.
+        drop((payload, room));
+        task.stream(events, attempt).await;
+    }
+    task.held.end().await;
+}
 
-    loop {
-        // 1. Held: the planner says when to go where, or that it gives up.
-        let (host, time_out) = match next(&mut seat, &mut caller, overdue, over).await {
-            Next::Order(Order::Send(host, time_out)) => (host, time_out),
-            Next::Order(Order::Refuse(come_back)) => {
-                tracing::debug!("request {}: refused", payload.id);
-                if !over {
-                    add(if caller.answer(Answer::Refused { come_back }) {
-                        &counters.refused
-                    } else {
-                        &counters.left
-                    });
-                }
-                break;
-            }
-            Next::Order(Order::Fail) => {
-                if !over {
-                    add(if caller.answer(Answer::Failed) { &counters.failed } else { &counters.left });
-                }
-                break;
-            }
-            Next::Order(Order::Release) => {
-                held.release();
-                continue;
-            }
-            Next::Order(Order::Parted) => break,
-            Next::Order(Order::Cancel(_) | Order::Move) => continue,
-            Next::ClientLeft => {
-                tracing::debug!("request {}: its client left", payload.id);
-                add(&counters.left);
-                (over, _) = (true, seat.left());
-                continue;
-            }
-            Next::Overdue => {
-                tracing::error!("request {}: no decision by its deadline", payload.id);
-                add(&counters.overdue);
-                caller.answer(Answer::Failed);
-                (over, _) = (true, seat.left());
-                continue;
+impl RequestTask {
+    /// Follows the planner's decisions until the request has its final answer, or its stream begins.
+    async fn until_stream(&mut self, payload: &Payload) -> Option<(Box<Events>, Attempt)> {
+        while let Some(send) = self.next_send().await {
+            match self.attempt(send, payload).await {
+                Next::Decision => {}
+                Next::Final => return None,
+                Next::Stream(events, attempt) => return Some((events, attempt)),
             }
-        };
-        let attempt = AttemptId(sent);
-        sent += 1;
-        let begun = Instant::now();
-        let id = held.id.clone();
-        tracing::debug!("request {id}: attempt {} to host {}, {time_out} us", attempt.0, host.0);
-        let ended = |outcome, last, kept, load| {
-            core.counters.attempt_ended(outcome);
-            let took = begun.elapsed().as_micros() as Micros;
-            tracing::debug!(
-                "request {id}: attempt {} ended {outcome:?} after {took} us, {kept} kept",
-                attempt.0
-            );
-            (outcome, last, End { kept, took, load })
-        };
-        if over {
-            let (outcome, last, end) = ended(Outcome::Moot, true, 0.0, None);
-            seat.ended(attempt, host, outcome, last, end);
-            continue;
         }
+        None
+    }
 
-        // 2. The attempt, until it ends, is withdrawn, or its stream begins.
-        let reader = core.upstream.reads(host);
-        if reader {
-            tokio::select! {
-                () = held.settle() => {}
-                () = caller.left() => {
-                    tracing::debug!("request {}: its client left", payload.id);
-                    add(&counters.left);
-                    seat.left();
-                    let (outcome, last, end) = ended(Outcome::Moot, true, 0.0, None);
-                    seat.ended(attempt, host, outcome, last, end);
-                    break;
+    /// What comes first: the planner's order, the client's leaving, or the end of its time.
+    async fn wake(&mut self) -> Wake {
+        tokio::select! {
+            biased;
+            order = self.handle.next() => Wake::Order(order),
+            () = self.caller.left(), if !self.over => Wake::ClientLeft,
+            () = sleep_until(self.deadline + OVERDUE), if !self.over => Wake::Overdue,
+        }
+    }
+
+    /// Held: the planner says when to go where; none once the request has its final answer.
+    async fn next_send(&mut self) -> Option<SendOrder> {
+        loop {
+            match self.wake().await {
+                Wake::Order(Order::Send(send)) => return Some(send),
+                Wake::Order(Order::Refuse(come_back)) => {
+                    self.answer(Answer::Refused { come_back });
+                    return None;
+                }
+                Wake::Order(Order::Fail) => {
+                    self.answer(Answer::Failed);
+                    return None;
                 }
+                Wake::Order(Order::Release) => self.held.release(),
+                Wake::Order(Order::Forgotten) => return None,
+                Wake::Order(Order::Cancel(_) | Order::Move) => {}
+                Wake::ClientLeft => self.client_left(),
+                Wake::Overdue => self.overdue(),
             }
         }
-        let until = (begun + span(time_out)).min(deadline);
-        let (first, load) =
-            attempt_at(&core, (host, attempt, until), &payload, &mut seat, &mut caller, &mut over, overdue)
-                .await;
-        let mut events = match first {
-            First::Began(events) => events,
+    }
+
+    /// Gives the planner's final answer to the client, if it still waits for one.
+    fn answer(&mut self, answer: Answer) {
+        if self.over {
+            return;
+        }
+        let counters = &self.core.counters;
+        let given = match answer {
+            Answer::Refused { .. } => &counters.refused,
+            _ => &counters.failed,
+        };
+        tracing::debug!("request {}: answered, nothing more is sent", self.id);
+        add(if self.caller.answer(answer) { given } else { &counters.left });
+    }
+
+    fn client_left(&mut self) {
+        tracing::debug!("request {}: its client left", self.id);
+        add(&self.core.counters.left);
+        self.end_early();
+    }
+
+    /// The planner has not ended it in time.
+    fn overdue(&mut self) {
+        tracing::error!("request {}: no decision by its deadline", self.id);
+        add(&self.core.counters.overdue);
+        self.caller.answer(Answer::Failed);
+        self.end_early();
+    }
+
+    /// No answer is needed any more; the planner forgets the request.
+    fn end_early(&mut self) {
+        self.over = true;
+        self.handle.left();
+    }
+
+    /// One attempt, until it ends, is withdrawn, or its stream begins.
+    async fn attempt(&mut self, send: SendOrder, payload: &Payload) -> Next {
+        let attempt = Attempt { id: AttemptId(self.attempts), send, begun: Instant::now() };
+        self.attempts += 1;
+        tracing::debug!(
+            "request {}: attempt {} to host {}, {} us",
+            self.id,
+            attempt.id.0,
+            send.host.0,
+            send.time_out
+        );
+        if self.over {
+            return self.ended(&attempt, Outcome::Moot, (0.0, None));
+        }
+        let prefill = self.core.upstream.reads(send.host);
+        if prefill && !self.release_before_read().await {
+            return self.ended(&attempt, Outcome::Moot, (0.0, None));
+        }
+        let (first, load) = self.until_first_event(&attempt, payload).await;
+        match first {
+            First::Began(events) => Next::Stream(events, attempt),
             First::Read(kept) => {
-                held.any = true;
-                let (outcome, last, end) = ended(Outcome::Read, over, kept, load);
-                seat.ended(attempt, host, outcome, last, end);
-                if over { break } else { continue }
+                self.held.any = true;
+                self.ended(&attempt, Outcome::Read, (kept, load))
             }
             First::Ended(outcome) => {
                 let ran = !matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::Moot);
-                if reader && ran {
+                if prefill && ran {
                     // Guards the pin limit: the prompt may have been read although the answer was lost.
-                    held.any = true;
-                    held.release();
+                    self.held.any = true;
+                    self.held.release();
                 }
-                let (outcome, last, end) = ended(outcome, over, 0.0, load);
-                seat.ended(attempt, host, outcome, last, end);
-                if over { break } else { continue }
+                self.ended(&attempt, outcome, (0.0, load))
             }
+        }
+    }
+
+    /// Lets go of an earlier read's state before the next read; false when the client leaves meanwhile.
+    async fn release_before_read(&mut self) -> bool {
+        let left = tokio::select! {
+            () = self.held.settle() => false,
+            () = self.caller.left() => true,
         };
+        if left {
+            self.client_left();
+        }
+        !left
+    }
 
-        // 3. The stream: it is this client's from its first event on, and no deadline runs any more. It is never sent
-        // again, so the payload, far larger than the events that wait, goes now.
-        drop((payload, room));
-        held.any = false;
-        if !whole {
+    /// Tells the planner how an attempt ended.
+    fn ended(&self, attempt: &Attempt, outcome: Outcome, (kept, load): (f64, Option<Load>)) -> Next {
+        self.core.counters.attempt_ended(outcome);
+        let took = attempt.begun.elapsed().as_micros() as Micros;
+        tracing::debug!(
+            "request {}: attempt {} ended {outcome:?} after {took} us, {kept} kept",
+            self.id,
+            attempt.id.0
+        );
+        let end = End { kept, took, load };
+        self.handle.ended(attempt.id, attempt.send.host, outcome, self.over, end);
+        if self.over { Next::Final } else { Next::Decision }
+    }
+
+    /// One attempt up to its first event. A client that leaves is told to the planner, which withdraws the attempt.
+    async fn until_first_event(&mut self, attempt: &Attempt, payload: &Payload) -> (First, Option<Load>) {
+        let withdrawn = (First::Ended(Outcome::Cancelled), None);
+        let progress = Progress::default();
+        let times = Times {
+            until: (attempt.begun + span(attempt.send.time_out)).min(self.deadline),
+            start_by: attempt.send.start_within.map(|within| attempt.begun + span(within)),
+        };
+        let upstream = self.core.upstream.clone();
+        let first = upstream.first(attempt.send.host, payload, times, &progress);
+        tokio::pin!(first);
+        loop {
+            let wake = tokio::select! {
+                biased;
+                wake = self.wake() => wake,
+                done = &mut first => return done,
+            };
+            match wake {
+                Wake::Order(Order::Cancel(which)) if which == attempt.id => return withdrawn,
+                // The planner has ended it while an attempt is out: answer, and give the attempt up.
+                Wake::Order(Order::Refuse(come_back)) => {
+                    self.answer(Answer::Refused { come_back });
+                    self.over = true;
+                    return withdrawn;
+                }
+                Wake::Order(Order::Fail) => {
+                    self.answer(Answer::Failed);
+                    self.over = true;
+                    return withdrawn;
+                }
+                Wake::Order(_) => {}
+                Wake::ClientLeft => self.client_left(),
+                Wake::Overdue => self.overdue(),
+            }
+            // An instance need not take a withdrawal; what it has not been sent it is spared all the same.
+            if self.over && !progress.unwanted() {
+                return (First::Ended(Outcome::Moot), None);
+            }
+        }
+    }
+
+    /// Passes the stream on: it is this client's from its first event on, and no deadline runs any more.
+    async fn stream(&mut self, mut events: Box<Events>, attempt: Attempt) {
+        self.held.any = false;
+        if !self.whole {
             // A whole answer tells nothing of the time to a first token.
-            let took = begun.elapsed().as_micros() as Micros;
-            tracing::debug!("request {}: attempt {} began after {took} us", held.id, attempt.0);
-            seat.began(attempt, host, took);
+            let took = attempt.begun.elapsed().as_micros() as Micros;
+            tracing::debug!("request {}: attempt {} began after {took} us", self.id, attempt.id.0);
+            self.handle.began(attempt.id, attempt.send.host, took);
         }
         let (pieces, receiver) = mpsc::channel(relay::WAITING);
         let form = events.form().clone();
-        let passed = if over || !caller.answer(Answer::Events { form, pieces: receiver }) {
+        let passed = if self.over || !self.caller.answer(Answer::Events { form, pieces: receiver }) {
             Passed::ClientLeft
         } else {
             tokio::select! {
                 passed = relay::pass(&mut events, &pieces) => passed,
-                () = moved(&mut seat) => {
+                () = moved(&mut self.handle) => {
                     // The client comes again for the rest.
                     let _ = pieces.try_send(Err(StreamBroken::Cut));
                     Passed::Broken(StreamBroken::Cut)
@@ -257,78 +338,41 @@
             }
         };
         drop((events, pieces));
-        let outcome = match passed {
-            Passed::Whole => (add(&counters.served), Outcome::Served).1,
-            Passed::Broken(StreamBroken::Cut) => (add(&counters.broken), Outcome::Broken).1,
-            Passed::Broken(StreamBroken::Spoilt) => (add(&counters.broken), Outcome::Spoilt).1,
-            Passed::Failed => (add(&counters.failed), Outcome::Error).1,
+        let outcome = self.streamed(passed);
+        self.over = true;
+        self.ended(&attempt, outcome, (0.0, None));
+    }
+
+    /// Counts how a stream ended.
+    fn streamed(&mut self, passed: Passed) -> Outcome {
+        let counters = self.core.counters.clone();
+        match passed {
+            Passed::Whole => {
+                add(&counters.served);
+                Outcome::Served
+            }
+            Passed::Broken(how) => {
+                add(&counters.broken);
+                if how == StreamBroken::Spoilt { Outcome::Spoilt } else { Outcome::Broken }
+            }
+            Passed::Failed => {
+                add(&counters.failed);
+                Outcome::Error
+            }
             Passed::ClientLeft => {
-                if !over {
-                    add(&counters.left);
-                    seat.left();
+                if !self.over {
+                    self.client_left();
                 }
                 Outcome::Cancelled
             }
-        };
-        let (outcome, last, end) = ended(outcome, true, 0.0, None);
-        seat.ended(attempt, host, outcome, last, end);
-        break;
-    }
-    // Guards against anything left held, whatever the order in which client and planner ended the request.
-    held.release();
-    if let Some(call) = held.under_way.take() {
-        let _ = call.await;
-    }
-}
-
-/// One attempt up to its first event. A client that leaves is told to the planner, which withdraws the attempt.
-async fn attempt_at(
-    core: &Core, (host, attempt, until): (HostId, AttemptId, Instant), payload: &Payload, seat: &mut Seat,
-    caller: &mut Caller, over: &mut bool, overdue: Instant,
-) -> (First, Option<Load>) {
-    let withdrawn = (First::Ended(Outcome::Cancelled), None);
-    let progress = Progress::default();
-    let first = core.upstream.first(host, payload, until, &progress);
-    tokio::pin!(first);
-    loop {
-        tokio::select! {
-            biased;
-            next = next(seat, caller, overdue, *over) => match next {
-                Next::Order(Order::Cancel(which)) if which == attempt => return withdrawn,
-                Next::Order(order @ (Order::Refuse(_) | Order::Fail)) => {
-                    // The planner has ended it while an attempt is out: answer, and give the attempt up.
-                    let answer = match order {
-                        Order::Refuse(come_back) => Answer::Refused { come_back },
-                        _ => Answer::Failed,
-                    };
-                    let refused = matches!(answer, Answer::Refused { .. });
-                    if !*over && caller.answer(answer) {
-                        add(if refused { &core.counters.refused } else { &core.counters.failed });
-                    }
-                    *over = true;
-                    return withdrawn;
-                }
-                Next::Order(_) => {}
-                Next::ClientLeft | Next::Overdue => {
-                    tracing::debug!("request {}: its client left", payload.id);
-                    add(&core.counters.left);
-                    *over = true;
-                    seat.left();
-                    // An instance need not take a withdrawal; what it has not been sent it is spared all the same.
-                    if !progress.unwanted() {
-                        return (First::Ended(Outcome::Moot), None);
-                    }
-                }
-            },
-            done = &mut first => return done,
         }
     }
 }
 
 /// Waits for an order to move the stream.
-async fn moved(seat: &mut Seat) {
+async fn moved(handle: &mut RequestHandle) {
     loop {
-        match seat.next().await {
+        match handle.next().await {
             Order::Move => return,
             // The planner's end is the process's end; the stream goes on until then.
             Order::Fail => std::future::pending().await,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -553,7 +553,7 @@
 
 fn command(action: Action) -> Command {
     match action {
-        Action::Send { request, host, time_out } => {
+        Action::Send { request, host, time_out, .. } => {
             Command::Send { handle: request.0, host: host.0, try_for: millis(time_out) }
         }
         Action::Cancel { request, attempt } => Command::Abandon { handle: request.0, round_no: attempt.0 },
--- /dev/null
+++ b/tests/connection_wait.rs
@@ -0,0 +1,151 @@
+//! What changes while an attempt waits for a connection: nothing that may no longer begin is written then.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use croftsill::api::*;
+use croftsill::node::attempt::{Dialect, First, Payload, Progress, Times, Upstream};
+use croftsill::node::counters::Counters;
+use croftsill::node::planner::Planner;
+use croftsill::node::pool::{Connection, Pool, PoolLimits, Site};
+use croftsill::node::request::{Caller, run_request};
+use croftsill::node::{Clock, Core};
+use hyper::http::uri::PathAndQuery;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, timeout};
+
+mod common;
+use common::rig;
+
+/// Far above any wait that is meant.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// A core with one reader and one writer at this address, and room for a single connection to them. What is under
+/// way cannot be withdrawn.
+fn core(listener: &TcpListener) -> Core {
+    let mut settings = rig::settings();
+    settings.limits.cancel = false;
+    let limits = PoolLimits { connect: PATIENCE, idle: PATIENCE, connections: 1 };
+    let counters = Rc::new(Counters::default());
+    let pool = Rc::new(Pool::new(limits, counters.clone()));
+    let addr = listener.local_addr().expect("it listens");
+    let members = [rig::member(rig::READER, 0), rig::member(rig::WRITER, 1)];
+    for m in &members {
+        pool.place(m.host, Some(Site { addr, role: settings.kinds[m.kind.0].role, ready: true }));
+    }
+    let (planner, _orders) = Planner::start(settings, 5, Clock::start());
+    planner.hosts(true, members.to_vec());
+    let upstream = Rc::new(Upstream::new(pool, Dialect::Platform, counters.clone()));
+    Core { planner, upstream, counters }
+}
+
+fn payload() -> Payload {
+    Payload {
+        id: "waits".into(),
+        target: PathAndQuery::from_static("/v1/chat/completions"),
+        content_type: None,
+        idempotency_key: None,
+        body: Bytes::from_static(b"{}"),
+    }
+}
+
+/// Takes the only connection that there is room for.
+async fn take_room(core: &Core, listener: &TcpListener) -> Connection {
+    let Ok(taken) = core.upstream.pool().connection(HostId(rig::READER)).await else {
+        panic!("it listens");
+    };
+    let _ = listener.accept().await.expect("the connection that takes the room");
+    taken
+}
+
+async fn attempt_waits(core: &Core) {
+    while core.counters.attempts.get() == 0 {
+        tokio::task::yield_now().await;
+    }
+}
+
+/// What the next connection brings, if one is made at all.
+async fn next_bytes(listener: TcpListener) -> Vec<u8> {
+    let mut got = Vec::new();
+    if let Ok((mut socket, _)) = listener.accept().await {
+        let _ = socket.read_buf(&mut got).await;
+    }
+    got
+}
+
+async fn waits_for_a_connection_and_leaves() -> Vec<u8> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let core = core(&listener);
+    let taken = take_room(&core, &listener).await;
+    let (caller, answer) = Caller::new();
+    let life = spawn_local(run_request(core.clone(), rig::ask(1), (payload(), ()), caller));
+    attempt_waits(&core).await;
+    drop(answer);
+    while core.counters.left.get() == 0 {
+        tokio::task::yield_now().await;
+    }
+    // Room again: whatever still waits for a connection gets one now.
+    drop(taken);
+    tokio::select! {
+        got = next_bytes(listener) => got,
+        ended = timeout(PATIENCE, life) => {
+            ended.expect("it ends").expect("it ends well");
+            Vec::new()
+        }
+    }
+}
+
+/// Lets an attempt wait for a connection, makes the change, and gives what it came to and what was written.
+async fn waits_meanwhile(start_by: Option<Instant>, change: impl FnOnce(&Core)) -> (Outcome, Vec<u8>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let core = core(&listener);
+    let taken = take_room(&core, &listener).await;
+    let upstream = core.upstream.clone();
+    let attempt = spawn_local(async move {
+        let times = Times { until: Instant::now() + PATIENCE, start_by };
+        let (first, _) = upstream.first(HostId(rig::READER), &payload(), times, &Progress::default()).await;
+        let First::Ended(outcome) = first else { panic!("nobody answers") };
+        outcome
+    });
+    attempt_waits(&core).await;
+    change(&core);
+    drop(taken);
+    let written = spawn_local(next_bytes(listener));
+    let outcome = timeout(PATIENCE, attempt).await.expect("it ends").expect("it ends well");
+    // The connections end here, and with them what the instance reads.
+    core.upstream.pool().place(HostId(rig::READER), None);
+    (outcome, timeout(PATIENCE, written).await.expect("it ends").expect("it ends well"))
+}
+
+fn run<T>(test: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, test)
+}
+
+#[test]
+fn a_request_that_waits_for_a_connection_is_not_sent_once_its_client_has_left() {
+    let got = run(waits_for_a_connection_and_leaves());
+    assert!(got.is_empty(), "sent {}", String::from_utf8_lossy(&got));
+}
+
+#[test]
+fn an_attempt_that_waits_for_a_connection_is_not_sent_to_a_host_that_drains_by_then() {
+    let drains = |core: &Core| {
+        let host = HostId(rig::READER);
+        let site = core.upstream.pool().site(host).expect("a known host");
+        core.upstream.pool().place(host, Some(Site { ready: false, ..site }));
+    };
+    let (outcome, written) = run(waits_meanwhile(None, drains));
+    assert_eq!(outcome, Outcome::Unreachable, "it never ran");
+    assert!(written.is_empty(), "sent {}", String::from_utf8_lossy(&written));
+}
+
+#[test]
+fn an_attempt_that_waits_for_a_connection_is_not_sent_once_its_repeat_counts_as_new() {
+    let (outcome, written) = run(async { waits_meanwhile(Some(Instant::now()), |_| {}).await });
+    assert_eq!(outcome, Outcome::Unreachable, "it never ran");
+    assert!(written.is_empty(), "sent {}", String::from_utf8_lossy(&written));
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -102,6 +102,26 @@
     }
 }
 
+#[test]
+fn rule_2_a_repeat_tells_until_when_it_may_begin() {
+    let members = [member(READER, 0), member(WRITER, 1), member(11, 1)];
+    let mut rig = Rig::new(with_effect(Effect::Keyed(Group::All, S)), &members);
+    let start_within = |out: &[Action]| {
+        out.iter().find_map(|a| match a {
+            Action::Send { start_within, .. } => Some(*start_within),
+            _ => None,
+        })
+    };
+    assert_eq!(start_within(&rig.request(1)), Some(None), "a read has no effect");
+    let first = rig.end(1, READER, Outcome::Read);
+    let sent_at = rig.now;
+    assert_eq!(start_within(&first), Some(None), "nothing may have run yet");
+    let repeat = rig.end(1, sent_to(&first).unwrap(), Outcome::Error);
+    let within = start_within(&repeat).flatten().expect("a repeat within its window");
+    // With time to spare for the way to the instance.
+    assert!(rig.now + within <= sent_at + S - 50 * MS, "{within}");
+}
+
 #[test]
 fn rule_2_no_second_attempt_while_one_is_out() {
     let members = [member(READER, 0), member(2, 0), member(WRITER, 1), member(11, 1)];
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -108,7 +108,7 @@
     let (request, host) = (RequestId(9), HostId(2));
     for (action, text) in [
         (
-            Action::Send { request, host, time_out: 80_500 },
+            Action::Send { request, host, time_out: 80_500, start_within: None },
             r#"{"t":"send","handle":9,"host":2,"tryFor":80.5}"#,
         ),
         (Action::Cancel { request, attempt: AttemptId(1) }, r#"{"t":"abandon","handle":9,"roundNo":1}"#),
