Take lists in however a watch breaks them into lines and pieces

Seen: a list indented over several lines ended the watch, 'watch lost, not a list: EOF while parsing a value at line 2 column 0', and its drain was not heard. Wrong: Directory::watch() took each line for a whole list. The test a_list_that_comes_in_pieces_and_over_several_lines_is_taken_in failed before.

--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -40,7 +40,7 @@
 /// Longest from one call to the next, however large the fleet: what changes counts as told 6 s after discovery had it
 /// and could be reached, and of these a call may wait 2 s in turn.
 const AGAIN_MOST: Duration = Duration::from_secs(4);
-/// Longest line or list that is read.
+/// Longest list that is read.
 const MOST: usize = 4 * 1024 * 1024;
 
 /// A list of targets, whole or only its changes.
@@ -83,10 +83,10 @@
     /// Not the answer that is meant to come.
     #[error("answered {0}")]
     Status(StatusCode),
-    /// A line that is no list.
+    /// What came is no list.
     #[error("not a list: {0}")]
     Form(#[from] serde_json::Error),
-    /// A line without end.
+    /// A list without end.
     #[error("a list of over {MOST} bytes")]
     TooLong,
     /// Nothing came for too long.
@@ -297,11 +297,8 @@
             self.backoff.answered();
             told.send_replace(true);
             text.extend_from_slice(&part);
-            while let Some(end) = text.iter().position(|&b| b == b'\n') {
-                let line = text.split_to(end + 1);
-                if !line.trim_ascii().is_empty() {
-                    self.take(&serde_json::from_slice(&line)?);
-                }
+            for list in whole_lists(&mut text)? {
+                self.take(&list);
             }
             if text.len() > MOST {
                 return Err(WatchError::TooLong);
@@ -312,6 +309,25 @@
     }
 }
 
+/// Takes the lists that are whole out of what a watch has sent, however they are broken into lines and pieces.
+fn whole_lists(text: &mut BytesMut) -> Result<Vec<Targets>, serde_json::Error> {
+    let mut values = serde_json::Deserializer::from_slice(text).into_iter();
+    let mut lists = Vec::new();
+    for list in values.by_ref() {
+        match list {
+            Ok(list) => lists.push(list),
+            Err(fault) if fault.is_eof() => break,
+            Err(fault) => return Err(fault),
+        }
+    }
+    let taken = values.byte_offset();
+    text.advance(taken);
+    if text.trim_ascii().is_empty() {
+        text.clear();
+    }
+    Ok(lists)
+}
+
 async fn get(addr: SocketAddr, path: &str, within: Duration) -> Result<Incoming, WatchError> {
     let exchange = async {
         let socket = TcpStream::connect(addr).await.map_err(WatchError::Connect)?;
