Wait 50 ms at most for the text behind a refusal, whose head says all

Seen: an instance that answers 503 with Not-Started and never ends its body held the request until the attempt's time-out, which then counted as one that may have run. Wrong: exchange() read each body to its end before the status was looked at. The test a_refusal_whose_body_never_ends_is_followed_by_the_next_attempt_at_once failed before.

--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -20,6 +20,8 @@
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 /// Most of an answer without a stream that is read.
 const ANSWER_MOST: usize = 256 * 1024;
+/// For the text behind the head of a refusal or an error, which mostly comes with it.
+const REFUSAL_TEXT: Duration = Duration::from_millis(50);
 /// For a probe's answer.
 const PROBE: Duration = Duration::from_millis(250);
 
@@ -234,16 +236,22 @@
                 Err(outcome) => (First::Ended(outcome), report),
             };
         }
-        let whole = Limited::new(body, ANSWER_MOST).collect().await.map(|b| b.to_bytes());
-        if whole.is_ok() {
+        let text = Limited::new(body, ANSWER_MOST).collect();
+        let whole = match head.status {
+            StatusCode::ACCEPTED => text.await.ok(),
+            // The status says all; its text is read for the connection's sake alone.
+            _ => timeout(REFUSAL_TEXT, text).await.ok().and_then(Result::ok),
+        };
+        let whole = whole.map(|text| text.to_bytes());
+        if whole.is_some() {
             self.pool.keep(host, connection);
         }
         match (head.status, whole) {
-            (StatusCode::ACCEPTED, Ok(text)) if self.holds() => {
+            (StatusCode::ACCEPTED, Some(text)) if self.holds() => {
                 let kept = serde_json::from_slice(&text).map_or(0.0, |a: ReadAnswer| a.cached_tokens);
                 (First::Read(kept), report)
             }
-            (StatusCode::ACCEPTED, Err(_)) => ended(Outcome::Broken),
+            (StatusCode::ACCEPTED, None) => ended(Outcome::Broken),
             (status, _) => (First::Ended(turned(&self.dialect, status, &head.headers)), report),
         }
     }
