Tell the module which tenant a request is for

Seen: clients send 'tenant: wholesale' where the settings have tenants, and no line of the platform's front read it, so that no quota was ever kept. An unknown name is turned down, as an unknown class is; without tenants in the settings the header says nothing. Two tests on sockets.

--- a/src/node/front/platform.rs
+++ b/src/node/front/platform.rs
@@ -51,6 +51,9 @@
     /// Nobody knows the class.
     #[error("unknown class \"{0}\"")]
     Class(String),
+    /// Nobody knows the tenant.
+    #[error("unknown tenant \"{0}\"")]
+    Tenant(String),
     /// The id was seen before.
     #[error("the request id \"{0}\" was used before")]
     Duplicate(String),
@@ -244,6 +247,7 @@
         "Request-Info",
         "prompt_len=N,max_out=N and, with an opening, prefix=ID,prefix_len=N",
     ))?;
+    ask.tenant = tenant(headers, names)?;
     ask.session = text(headers, "Affinity-Key")?.map(|key| TextKey(xxh3_64(key.as_bytes())));
     match text(headers, "Client-Retry")? {
         None => {}
@@ -254,6 +258,13 @@
     Ok(ask)
 }
 
+/// The tenant that a request is for, where the settings have any.
+fn tenant(headers: &HeaderMap, names: &Names) -> Result<Option<TenantId>, Malformed> {
+    let Some(name) = text(headers, "Tenant")?.filter(|_| !names.tenants.is_empty()) else { return Ok(None) };
+    let known = names.tenants.iter().position(|tenant| tenant == name);
+    known.map(|at| Some(TenantId(at))).ok_or_else(|| Malformed::Tenant(name.into()))
+}
+
 fn info(text: &str, ask: &mut NewRequest) -> Option<()> {
     let (mut prompt, mut most) = (None, None);
     for pair in text.split(',') {
--- a/tests/customers.rs
+++ b/tests/customers.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use common::peers::{Connection, END, Listener, READ, STREAM, client, request, start};
-use common::program::address;
+use common::peers::{Connection, END, Listener, READ, STREAM, client, list, request, start};
+use common::program::{address, target};
 
 const UNSAFE: &str = "\"semantics\": \"non_idempotent\"";
 const KEYED: &str = "\"semantics\": \"idempotency_key\"";
@@ -38,3 +38,46 @@
     asking.close();
     program.end();
 }
+
+const NO_TENANTS: &str = "\"accounts\": []";
+/// One of them may send a single request in a long while, the other all that there are.
+const TENANTS: &str = "\"accounts\": [{\"name\":\"small\",\"share\":0.1,\"quotaPerS\":0.001},\
+                       {\"name\":\"large\",\"share\":0.9,\"quotaPerS\":100000.0}]";
+
+#[test]
+fn a_tenant_beyond_its_quota_waits_for_those_within_theirs() {
+    let base = address();
+    let prefills = Listener::instance(&base, "r1");
+    // No decode server is known, so the requests are held, and those within their quota go first.
+    let (mut program, _discovery, mut watch) = start(&base, &["r1"], &[(NO_TENANTS, TENANTS)]);
+    let mut clients: Vec<Connection> = Vec::new();
+    for (id, tenant) in [("t1", "small"), ("t2", "small"), ("t3", "large")] {
+        let mut asking = client(&base);
+        asking.send(&with_header(&request(id, "climb-query", 6_000), &format!("Tenant: {tenant}")));
+        program.logs(&format!("request {id}: taken"));
+        clients.push(asking);
+    }
+    let _decodes = Listener::instance(&base, "w1");
+    watch.send(&(list(2, false, &[target(&base, "w1", "Ready")]) + "\n"));
+    let mut first: Vec<String> = Vec::new();
+    for _ in 0..2 {
+        let asked = prefills.accept().message();
+        first.push(asked.header("request-id").expect("an id").to_owned());
+    }
+    first.sort();
+    assert_eq!(first, ["t1", "t3"], "the second request of the small tenant is beyond its quota");
+    clients.into_iter().for_each(Connection::close);
+    program.end();
+}
+
+#[test]
+fn a_tenant_that_the_settings_do_not_name_is_turned_down() {
+    let base = address();
+    let (program, _discovery, _watch) = start(&base, &["r1", "w1"], &[(NO_TENANTS, TENANTS)]);
+    let mut asking = client(&base);
+    asking.send(&with_header(&request("u1", "climb-query", 6_000), "Tenant: nobody"));
+    let answer = asking.message();
+    assert!(answer.head.starts_with("HTTP/1.1 400 "), "{answer:?}");
+    asking.close();
+    program.end();
+}
