Read a keyed request that may have run again in its group alone

Ruled out: the window (each send logged lay within it) and sends to writers (all in the zone of the first). Two tests, both fail without the change.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -400,7 +400,8 @@
                 let r = &self.requests[id];
                 let read = || self.quickest(true, |h| self.read_time(now, h, r)) + first;
                 let start = now.saturating_add(if *rank < LOOKS { read() as Micros } else { 0 });
-                start > if low { r.deadline - ANSWER_MARGIN } else { r.aim_at }
+                let limit = if low { r.deadline - ANSWER_MARGIN } else { r.aim_at };
+                start > limit || !self.may_run_anywhere(now, *id)
             };
             let tier = if low { &self.low } else { &self.high };
             let hopeless: Vec<_> = tier.iter().enumerate().filter(late).map(|(_, &key)| key).collect();
@@ -519,7 +520,7 @@
         let r = self.requests.get(&id)?;
         // The quickest home that passes; a read and a write must both be left.
         let most = self.set.limits.max_attempts;
-        let mut homes = self.homes(r, |h| r.sent + 2 <= most && self.takes(now, h, &r.ask));
+        let mut homes = self.homes(r, |h| r.sent + 2 <= most && self.takes(now, h, r));
         homes.sort_by(|a, b| self.read_time(now, a, r).total_cmp(&self.read_time(now, b, r)));
         let paired = homes.iter().find_map(|at| {
             let ready_in = self.read_time(now, at, r) * READ_MARGIN;
@@ -540,8 +541,7 @@
     /// Rendezvous hashing of the shared beginning (else the session) over the readers, alike at every router.
     /// Few are its homes: a text read anywhere else is read anew and pushes others out of the memory there.
     fn homes(&self, r: &Request, of: impl Fn(&Host) -> bool) -> Vec<&Host> {
-        let session = r.ask.session.unwrap_or(TextKey(r.ask.id.0));
-        let key = r.ask.prefix.unwrap_or(session);
+        let key = r.ask.prefix.or(r.ask.session).unwrap_or(TextKey(r.ask.id.0));
         // Fewer begin where the cell has no writers to take them, as their states would crowd its link.
         let place = |h: &Host| weighted(h.id.0, key.0, (2.0 * h.stay).clamp(STAY_LEAST, 1.0));
         let mut homes: Vec<_> = self.hosts.values().filter(|h| h.role == Role::Read && of(h)).collect();
@@ -560,8 +560,7 @@
             (true, _) => 1.0,
             (_, near) => h.spare * if near { 1.0 } else { FAR_WEIGHT },
         };
-        let takes = |h: &Host| self.takes(now, h, &r.ask) && self.may_run_at(now, r, h.id);
-        let fits = |h: &&Host| h.role != Role::Read && takes(h) && wanted(h);
+        let fits = |h: &&Host| h.role != Role::Read && self.takes(now, h, r) && wanted(h);
         let drawn = |h: &Host| {
             let room = self.room(now, r, h, ready_in, tested)?;
             let weight = room.max(0.0).powf(CHOICE) * reader.map_or(1.0, |from| place(h, from));
@@ -685,7 +684,7 @@
             host.pending.insert(id, now);
         }
         host.unused_since = now;
-        let (_, since) = r.may_have_run.filter(|_| host.role != Role::Read).unzip();
+        let (_, since) = r.may_have_run.unzip();
         let start_within = match self.set.classes[r.ask.class.0].effect {
             Effect::Keyed(_, window) => since.map(|since| since + window - REPEAT_MARGIN - now),
             _ => None,
@@ -881,7 +880,7 @@
         self.forget(id);
     }
 
-    /// Rule 2: whether an attempt at this writer could not repeat an effect.
+    /// Rule 2: whether an attempt there, also a read, could not repeat an effect.
     fn may_run_at(&self, now: Micros, r: &Request, at: HostId) -> bool {
         let Some((ran_at, since)) = r.may_have_run else { return true };
         let group = match self.set.classes[r.ask.class.0].effect {
@@ -946,11 +945,12 @@
     }
 
     /// Whether a host may be sent this now, as far as this router knows.
-    fn takes(&self, now: Micros, host: &Host, ask: &NewRequest) -> bool {
+    fn takes(&self, now: Micros, host: &Host, r: &Request) -> bool {
         host.phase == Phase::Serving
+            && self.may_run_at(now, r, host.id)
             && now >= host.rest_until.max(host.stuck_until)
             && (host.fails == 0 || host.pending.is_empty())
-            && host.full_until.get(&(ask.class, ask.tenant)).is_none_or(|&at| now >= at)
+            && host.full_until.get(&(r.ask.class, r.ask.tenant)).is_none_or(|&at| now >= at)
             && (host.warmth(now, &self.set.rules) >= 1.0 || self.slow_start_budget(now, host) >= 1.0)
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -102,6 +102,53 @@
     }
 }
 
+#[test]
+fn rule_2_a_keyed_request_that_may_have_run_is_read_again_in_its_group_alone() {
+    let zone = |host, kind, zone| Member { zone: ZoneId(zone), ..in_cell(host, kind, zone as i64) };
+    let members = [zone(READER, 0, 0), zone(2, 0, 1), zone(3, 0, 1), zone(WRITER, 1, 0), zone(11, 1, 0)];
+    let in_zone = [READER, WRITER, 11];
+    let mut seen_again = 0;
+    for id in 1..40 {
+        let mut rig = Rig::new(with_effect(Effect::Keyed(Group::Zone, 3 * S)), &members);
+        // Each has homes of its own.
+        let alone = NewRequest { prefix: None, prefix_tokens: 0.0, ..ask(id) };
+        let reader = sent_to(&rig.step(0, &[Event::Request(alone)])).expect("a first read");
+        let writer = sent_to(&rig.end(id, reader, Outcome::Read)).expect("a first write");
+        // It may have run there, and its state is gone: the prompt has to be read again.
+        let mut out = rig.end(id, writer, Outcome::Spoilt);
+        for _ in 0..20 {
+            if let Some(again) = sent_to(&out) {
+                assert!(in_zone.contains(&again), "request {id} was sent out of its zone, to {again}");
+                seen_again += 1;
+                break;
+            }
+            out = rig.tick(10 * MS);
+        }
+    }
+    assert!(seen_again > 20, "{seen_again} second reads");
+}
+
+#[test]
+fn a_held_request_that_may_not_be_sent_again_is_answered_at_once() {
+    let cells = [in_cell(READER, 0, 1), in_cell(WRITER, 1, 1), in_cell(11, 1, 2)];
+    let (mut rig, mut out) = after_time_out(Effect::Keyed(Group::Cell, S), &cells);
+    // Its group has only the server that just failed, and its window ends long before its deadline.
+    let mut answered_at = None;
+    for _ in 0..200 {
+        if finals(&out) > 0 {
+            answered_at = Some(rig.now);
+            break;
+        }
+        if let Some(host) = sent_to(&out) {
+            out = rig.end(1, host, if host == READER { Outcome::Read } else { Outcome::Full });
+        } else {
+            out = rig.tick(10 * MS);
+        }
+    }
+    let answered_at = answered_at.expect("a final answer");
+    assert!(answered_at <= 100 * S + S + 100 * MS, "{answered_at}");
+}
+
 #[test]
 fn rule_2_a_repeat_tells_until_when_it_may_begin() {
     let members = [member(READER, 0), member(WRITER, 1), member(11, 1)];
