--- a/tests/connection_wait.rs
+++ b/tests/connection_wait.rs
@@ -13,13 +13,15 @@
 use croftsill::node::{Clock, Core};
 use hyper::http::uri::PathAndQuery;
 use tokio::io::AsyncReadExt;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, timeout};
 
 mod common;
 use common::rig;
 
+/// After which a connection on loopback that has not come up waits for room at the listener.
+const CROWDED: Duration = Duration::from_millis(200);
 /// Far above any wait that is meant.
 const PATIENCE: Duration = Duration::from_secs(30);
 
@@ -98,6 +100,31 @@
     }
 }
 
+/// Lets a request wait for a connection that does not come up, and its client leave; gives what was written.
+async fn waits_for_a_handshake_and_leaves() -> Vec<u8> {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind(([127, 0, 0, 1], 0).into()).expect("a free port");
+    let listener = socket.listen(1).expect("it listens");
+    let addr = listener.local_addr().expect("it listens");
+    // Nobody accepts these, so whoever comes next waits for the system to take the connection.
+    let mut crowd = Vec::new();
+    while let Ok(Ok(one)) = timeout(CROWDED, TcpStream::connect(addr)).await {
+        crowd.push(one);
+    }
+    let core = core(&listener);
+    let (caller, answer) = Caller::new();
+    let life = spawn_local(run_request(core.clone(), rig::ask(1), (payload(), ()), caller));
+    attempt_waits(&core).await;
+    drop(answer);
+    timeout(PATIENCE, life).await.expect("it ends").expect("it ends well");
+    drop(crowd);
+    let mut written = Vec::new();
+    while let Ok(Ok((mut socket, _))) = timeout(CROWDED, listener.accept()).await {
+        let _ = timeout(CROWDED, socket.read_to_end(&mut written)).await;
+    }
+    written
+}
+
 /// Lets an attempt wait for a connection, makes the change, and gives what it came to and what was written.
 async fn waits_meanwhile(start_by: Option<Instant>, change: impl FnOnce(&Core)) -> (Outcome, Vec<u8>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
@@ -131,6 +158,12 @@
     assert!(got.is_empty(), "sent {}", String::from_utf8_lossy(&got));
 }
 
+#[test]
+fn a_request_whose_connection_does_not_come_up_is_not_sent_once_its_client_has_left() {
+    let got = run(waits_for_a_handshake_and_leaves());
+    assert!(got.is_empty(), "sent {}", String::from_utf8_lossy(&got));
+}
+
 #[test]
 fn an_attempt_that_waits_for_a_connection_is_not_sent_to_a_host_that_drains_by_then() {
     let drains = |core: &Core| {
