--- /dev/null
+++ b/tests/client_connection.rs
@@ -0,0 +1,102 @@
+//! The life of a client's connection, on a clock of the test's own.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use croftsill::node::front::Reply;
+use croftsill::node::front::client_state::{ClientState, Stage};
+use croftsill::node::front::connection::serve_connection;
+use croftsill::node::front::intake::Intake;
+use croftsill::node::shutdown::Shutdown;
+use http_body_util::{BodyExt, Either, Full};
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{sleep, timeout};
+
+/// Far above any wait that is meant.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// Longer than what the small pipe holds.
+const ANSWER: &str = "an answer of more than sixty-four bytes, which a client reads only when it likes to";
+const GET: &str = "GET /x HTTP/1.1\r\nHost: app.svc\r\n\r\n";
+
+async fn answer(mut request: Request<Incoming>) -> Result<Reply, Infallible> {
+    let _ = request.body_mut().collect().await;
+    Ok(Response::new(Either::Left(Full::new(Bytes::from_static(ANSWER.as_bytes())))))
+}
+
+/// A served connection over a pipe of this size: the client's end, and the state that the server keeps.
+fn connect(intake: &Rc<Intake>, pipe: usize) -> (DuplexStream, Rc<ClientState>) {
+    let (client, server) = tokio::io::duplex(pipe);
+    let (place, shutdown) = (intake.enter(), Shutdown::default());
+    let (state, pending) = (place.client.clone(), shutdown.pending());
+    spawn_local(serve_connection(server, tower::service_fn(answer), shutdown, (place, pending)));
+    (client, state)
+}
+
+async fn reads_answer(client: &mut DuplexStream) {
+    let mut text = Vec::new();
+    while !String::from_utf8_lossy(&text).ends_with(ANSWER) {
+        let read = timeout(PATIENCE, client.read_buf(&mut text)).await.expect("bytes or an end");
+        assert_ne!(read.expect("an open pipe"), 0, "cut off in {:?}", String::from_utf8_lossy(&text));
+    }
+}
+
+async fn reaches(state: &ClientState, stage: Stage) {
+    while state.stage() != stage {
+        tokio::task::yield_now().await;
+    }
+}
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+    LocalSet::new().block_on(&runtime.expect("a runtime"), test);
+}
+
+#[test]
+fn a_connection_makes_no_room_for_others_while_its_answer_is_not_written_out() {
+    run(async {
+        let intake = Intake::new(1, 1_024);
+        let (mut client, state) = connect(&intake, 64);
+        client.write_all(GET.as_bytes()).await.expect("an open pipe");
+        reaches(&state, Stage::Answered).await;
+        let _other = intake.enter();
+        reads_answer(&mut client).await;
+        // Written out, it is idle, and goes for the next one.
+        reaches(&state, Stage::Idle).await;
+        let _next = intake.enter();
+        let read = timeout(PATIENCE, client.read_u8()).await.expect("an end");
+        assert!(read.is_err(), "it went on");
+    });
+}
+
+#[test]
+fn a_head_that_begins_on_an_idle_connection_has_its_own_time() {
+    run(async {
+        let (mut client, _state) = connect(&Intake::new(9, 1_024), 4_096);
+        client.write_all(GET.as_bytes()).await.expect("an open pipe");
+        reads_answer(&mut client).await;
+        // Two pauses, each shorter than a connection may stand, and together longer.
+        sleep(Duration::from_millis(1_900)).await;
+        client.write_all(&GET.as_bytes()[..20]).await.expect("an open pipe");
+        sleep(Duration::from_millis(1_900)).await;
+        client.write_all(&GET.as_bytes()[20..]).await.expect("an open pipe");
+        reads_answer(&mut client).await;
+    });
+}
+
+#[test]
+fn a_client_that_says_nothing_or_never_ends_its_head_is_closed_within_three_seconds() {
+    run(async {
+        for first in ["", "GET /x HT"] {
+            let (mut client, _state) = connect(&Intake::new(9, 1_024), 4_096);
+            sleep(Duration::from_millis(2_000)).await;
+            client.write_all(first.as_bytes()).await.expect("an open pipe");
+            let closed = timeout(Duration::from_millis(1_000), client.read_u8()).await;
+            assert!(closed.is_ok_and(|read| read.is_err()), "still open after {first:?}");
+        }
+    });
+}
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -119,29 +119,6 @@
     program.ended(true);
 }
 
-#[test]
-fn a_head_that_begins_on_an_idle_connection_has_its_own_time() {
-    let base = address();
-    let (prefills, decodes) = (Listener::instance(&base, "r1"), Listener::instance(&base, "w1"));
-    let (program, _discovery, _watch) = start(&base, &["r1", "w1"], &[]);
-    let mut slow = client(&base);
-    slow.send("GET /-/ready HTTP/1.1\r\nHost: app.svc\r\n\r\n");
-    slow.message();
-    let text = request("i1", "climb-query", 6_000);
-    let (first, second) = text.split_at(40);
-    // Two pauses that are short of what one may last, and together longer.
-    std::thread::sleep(std::time::Duration::from_millis(1_300));
-    slow.send(first);
-    std::thread::sleep(std::time::Duration::from_millis(1_300));
-    slow.send(second);
-    let _prefill = prefill(&prefills, "i1");
-    let mut stream = decode(&decodes, "i1");
-    stream.send(END);
-    slow.reads_until("0\r\n\r\n");
-    slow.close();
-    program.end();
-}
-
 #[test]
 fn a_client_that_sends_more_behind_its_request_and_leaves_is_noticed() {
     let base = address();
