--- a/src/api.rs
+++ b/src/api.rs
@@ -16,7 +16,7 @@
 ids! {
     /// A client's request; a client's retry has a new one.
     RequestId(u64);
-    /// A reader, writer or mixed host.
+    /// A prefill server, decode server or mixed host.
     HostId(u32);
     /// An index into the deployment's zones.
     ZoneId(usize);
@@ -39,11 +39,11 @@
 pub enum Role {
     /// Reads prompts.
     #[default]
-    Read,
+    Prefill,
     /// Writes answers from a read state.
-    Write,
+    Decode,
     /// Writes answers, reading the prompt itself when there is no state.
-    Both,
+    Mixed,
 }
 
 /// The hosts that together drop repeats of a keyed request.
@@ -135,12 +135,12 @@
     pub max_attempts: u32,
     /// Longest come-back time that clients heed; none where they are not told one.
     pub come_back: Option<Micros>,
-    /// A writer may have a place held ahead.
+    /// A decode server may have a place held ahead.
     pub ahead: bool,
     /// A broken stream's client comes again and goes on from its last token.
     pub resume: bool,
-    /// A writer reads a prompt itself when there is no state.
-    pub writers_read: bool,
+    /// A decode server reads a prompt itself when there is no state.
+    pub local_prefill: bool,
 }
 
 /// What a router is told at its start.
@@ -215,7 +215,7 @@
 pub enum Outcome {
     /// Served.
     Served,
-    /// The prompt is read and its state waits at the reader.
+    /// The prompt is read and its state waits at the prefill server.
     Read,
     /// Turned away; it never ran.
     Full,
@@ -230,7 +230,7 @@
     /// Connection lost; it may have run.
     Broken,
     /// The answer could not be read, though its host answers; it may have run.
-    Spoilt,
+    Malformed,
     /// Withdrawn; it may have run.
     Cancelled,
     /// Never sent.
@@ -368,11 +368,11 @@
     Fail(RequestId),
     /// Let go of all that is held for the request.
     Release(RequestId),
-    /// Hold a place for the request at a writer. No decision of the present module asks for it.
+    /// Hold a place for the request at a decode server. No decision of the present module asks for it.
     Ahead {
         /// Which request.
         request: RequestId,
-        /// At which writer.
+        /// At which decode server.
         host: HostId,
     },
     /// End a running stream in order, to be resumed elsewhere. No present decision asks for it.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,7 @@
-//! A conductor that pairs prompt readers with answer writers.
+//! A router that pairs prefill servers with decode servers.
 //!
 //! [`api`] is the decision module's interface (types only), [`logic`] holds every decision, [`wire`]
-//! translates the simulator's messages for the adapter program, and [`node`] is the real conductor.
+//! translates the simulator's messages for the adapter program, and [`node`] is the real router.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,15 +1,11 @@
 //! Every decision of the router. The interface (settings, events, actions) is `src/api.rs`.
 //!
-//! The mechanism, after SABER's online phase. A request arrives into the high tier, kept by the time at
-//! which its first token is wanted. Whenever something happens, and at each tick while any is held, one of
-//! the first few is drawn at random and tested: would the writer's speed curve at L+1 streams still keep its
-//! token pace and that of every stream there, has the writer memory for it, and can its first token come in
-//! time? If so the prompt goes to the quickest of its readers, found by hash of the shared beginning and
-//! asked how much waits there where this router sees little of them. Else it waits unread.
-//! What cannot start in time drops to the low tier, sent untested while the high tier is empty and given up
-//! on, at once, when the client's deadline is out of reach. After the read the test is made again.
-//! The curve is the Universal Scalability Law in inverse form, pace = a + b(L-1) + c L(L-1), fitted online
-//! for each kind of host. L counts all streams: the own, and others' by the memory that reports show held.
+//! The mechanism, after SABER's online phase. A request arrives into the high tier, kept by the time at which
+//! its first token is wanted. One of the first few is drawn at random and tested: would the decode host keep
+//! the pace of all its streams at L+1, has it memory, and can the first token come in time? If so the prompt
+//! goes to the quickest of its preferred prefill hosts. Else it waits unread. What cannot start in time drops
+//! to the low tier, sent untested while the high tier is empty and given up on, at once, when the client's
+//! deadline is out of reach. After the read the test is made again.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -22,9 +18,9 @@
 const LOOKS: usize = 128; // of each tier's first are looked at in full each time: far above a usual backlog
 const TICK: Micros = 5_000; // between looks at what is held: short against every aim
 const PACE_BOUND: f64 = 0.9; // share of the wanted pace in use: lengths are guesses and the curve lags
-const MEMORY_BOUND: f64 = 0.9; // share of a writer's memory: past it the newest answer is read anew
+const MEMORY_BOUND: f64 = 0.9; // share of a decode host's memory: past it the newest answer is read anew
 const FIT_MIN: f64 = 12.0; // ended streams of a kind before its curve is believed
-const CHOICE: f64 = 4.0; // power of a writer's room in its chance to be chosen: most room mostly, but no herd
+const CHOICE: f64 = 4.0; // power of a decode host's room in its chance: most room mostly, but no herd
 const FIT_KEEP: f64 = 0.997; // weight that the fit keeps at each new stream: about its last 300 count
 const FIT_STEPS: usize = 20; // rounds of the fit at each new stream, going on from the last one
 const FADE: f64 = 6e6; // in which what is known of one host fades by half towards what is known of all
@@ -33,14 +29,14 @@
 const READ_EXTRA: f64 = 300.0; // tokens added to each read for what does not depend on its length
 const READ_COST: f64 = 80.0; // to read one token, until reads have been seen...
 const COST_RISE: f64 = 0.1; // ...and most of its rise that a slower one is believed: it has waited, too
-const FIRST_TOOK: f64 = 100_000.0; // from a send to a writer to the first token, until some have been seen
+const FIRST_TOOK: f64 = 100_000.0; // from a send to the first token, until some have been seen
 const HOST_GAIN: f64 = 0.25; // weight of a new sample in a host's mean: a few requests tell
 const FLEET_GAIN: f64 = 0.05; // and in the fleet's
-const HOMES: usize = 3; // of a beginning, all asked: it may outgrow one, yet each must read it first
-const CELL_SLACK: f64 = 1.15; // of a cell's part of the states that its writers take before others share them
-const STAY_LEAST: f64 = 0.5; // part of the reading that a reader without writers near gets, at least
-const SPARE_LEAST: f64 = 0.05; // weight of a writer whose cell has none to spare, against an idle one
-const FAR_WEIGHT: f64 = 0.25; // chance of a writer in another zone against one in the same: a crossing costs
+const PREFERRED: usize = 3; // of a beginning, all asked: it may outgrow one, yet each must read it first
+const CELL_SLACK: f64 = 1.15; // of a cell's part of the states that its decode hosts take alone
+const STAY_LEAST: f64 = 0.5; // part of the reading that a prefill host far from decode hosts gets
+const SPARE_LEAST: f64 = 0.05; // weight of a decode host whose cell has none to spare, against an idle one
+const FAR_WEIGHT: f64 = 0.25; // chance of a decode host in another zone: a crossing costs
 const KEPT_MOST: usize = 2_000; // texts remembered as kept at one host: bounds the memory used
 const READ_MARGIN: f64 = 1.5; // of a read's expected time: others queue too, and the mean lags behind a jam
 const PATIENCE: f64 = 4.0; // time-out of an attempt as a multiple of what is expected...
@@ -49,14 +45,14 @@
 const REST: Micros = 250_000; // for which a host rests after a failure, doubling with each further one...
 const REST_MOST: Micros = 2_000_000; // ...up to this, so that it is soon found when it is back
 const FAILS_RESTART: u32 = 3; // failures in a row after which a host that works again is taken for cold
-const STUCK: u32 = 2; // writers silent with the same state before its reader is held to blame...
+const STUCK: u32 = 2; // decode hosts silent with the same state before its prefill host is held to blame...
 const STUCK_REST: Micros = 4_000_000; // ...and so long nothing is read there: a jammed link drains slowly
-const SPOILT_MOST: u32 = 2; // answers in a row that cannot be read before the next counts as a failure
+const MALFORMED_MOST: u32 = 2; // answers in a row that cannot be read before the next counts as a failure
 const FULL_REST: Micros = 100_000; // for which a host that said "full" is left alone, at least...
 const FULL_MULTIPLE: Micros = 20; // ...and of the time that it took to say so
-const READY_WAIT: f64 = 0.4; // share of the pin limit after which a state goes to a writer untested...
+const READY_WAIT: f64 = 0.4; // share of the pin limit after which a state goes to a decode host untested...
 const READY_MOST: f64 = 0.8; // ...and after which it is let go
-const PROBE_EACH: f64 = 350_000.0; // between the fleet's probes of a writer, which take turns by chance
+const PROBE_EACH: f64 = 350_000.0; // between the fleet's probes of a decode host, which take turns by chance
 const SLOW_START_SHARE: f64 = 0.5; // of a cold host's budget in use: sends of many routers bunch by chance
 const SEEN_LEAST: f64 = 0.1; // part of a whole view of the arrivals that is believed: a second's worth
 const QUOTA_SLACK: f64 = 1.25; // multiple of an even part of a quota let through: traffic is not even
@@ -109,10 +105,10 @@
     phase: Phase,
     started: Option<Micros>,
     fails: u32,
-    /// Of a reader: until when nothing is read there, as writers could not fetch its states.
+    /// Of a prefill host: until when nothing is read there, as decode hosts could not fetch its states.
     stuck_until: Micros,
     /// Answers in a row that could not be read.
-    spoilt: u32,
+    malformed: u32,
     failed_at: Micros,
     rest_until: Micros,
     full_until: BTreeMap<(ClassId, Option<TenantId>), Micros>,
@@ -123,7 +119,7 @@
     pending: BTreeMap<RequestId, Micros>,
     /// What reads take there beyond their own tokens: others' reads come before them.
     read_wait: Fading,
-    /// Share of its states that its cell's writers can take, and of its writing left to other cells.
+    /// Share of its states that its cell's decode hosts can take, and of its writing left to other cells.
     stay: f64,
     spare: f64,
     kept: BTreeMap<TextKey, f64>,
@@ -131,7 +127,7 @@
     first_took: Fading,
     /// Tokens that others hold, from the reports.
     others: Option<Fading>,
-    /// Of a reader: tokens that waited to be read there, and when it said so.
+    /// Of a prefill host: tokens that waited to be read there, and when it said so.
     backlog: f64,
     told_at: Micros,
 }
@@ -161,7 +157,7 @@
 
 // ---- Speed curve ----
 
-/// Decayed least squares of pace over (1, L-1, L(L-1)), for one kind of host.
+/// The Universal Scalability Law inverted, pace = a + b(L-1) + c L(L-1), fitted by decayed least squares.
 #[derive(Clone, Default)]
 struct Curve {
     xx: [[f64; 3]; 3],
@@ -226,18 +222,18 @@
     token_aim: f64,
     stage: Stage,
     sent: u32,
-    /// The reader at which other routers would read it too.
-    homes: Vec<HostId>,
-    reader: Option<HostId>,
-    writer: Option<HostId>,
+    /// The prefill host at which other routers would read it too.
+    preferred: Vec<HostId>,
+    prefill: Option<HostId>,
+    decode: Option<HostId>,
     unread: f64,
-    /// Tokens to read at its reader when it was sent, its own among them.
+    /// Tokens to read at its prefill host when it was sent, its own among them.
     read_load: f64,
     from_low: bool,
-    /// Since when a state waits with no attempt out; whether even the quickest writer would be past its aim.
+    /// Since when a state waits with no attempt out; whether all would be past its aim.
     ready_since: Micros,
     late: bool,
-    /// The cell of a writer that stayed silent until its time was out, and how many did with the same state.
+    /// The cell of the decode host that stayed silent last, and how many did with the same state.
     silent: Option<CellId>,
     stuck: u32,
     /// The first attempt that may have had its effect.
@@ -246,7 +242,7 @@
     /// Ended for the client; only an outcome is still awaited.
     ended: bool,
     begun: Micros,
-    /// Until when the answers of its readers, asked how much waits there, may be on their way.
+    /// Until when the answers of its prefill hosts, asked how much waits there, may be on their way.
     asked_until: Micros,
 }
 
@@ -264,10 +260,10 @@
     read_cost: f64,
     read_wait: Fading,
     first_took: Fading,
-    /// Means: a request's tokens, others' share of a writer's memory, the share of a prompt kept at its home.
+    /// Means: a request's tokens, others' share of a decode host's memory, the part of a prompt kept.
     footprint: f64,
     others: f64,
-    kept_share: [f64; HOMES],
+    kept_share: [f64; PREFERRED],
     salt: u64,
     /// First tries, counted since the first look at the clock.
     arrivals: Fading,
@@ -325,10 +321,12 @@
     }
 
     fn arrive(&mut self, now: Micros, ask: &NewRequest, out: &mut Vec<Action>) {
-        let both = |k: &Kind| k.role == Role::Both || (k.role == Role::Write && self.set.limits.writers_read);
+        let local = self.set.limits.local_prefill;
+        let both = |k: &Kind| k.role == Role::Mixed || (k.role == Role::Decode && local);
         let able = self.set.limits.max_attempts >= 2 || self.set.kinds.iter().any(both);
+        let refusal = Action::Refuse { request: ask.id, come_back: None };
         let Some(class) = self.set.classes.get(ask.class.0).filter(|_| able) else {
-            return out.push(Action::Refuse { request: ask.id, come_back: None });
+            return out.push(refusal);
         };
         let token_aim = class.token_aim.max(1) as f64;
         let hint = ask.stream_hint.map(|hint| (hint as f64 / token_aim).min(ask.most_tokens));
@@ -352,17 +350,17 @@
         };
         self.requests.insert(ask.id, request);
         self.hold(ask.id);
-        self.ask_readers(now, ask.id, out);
+        self.ask_prefill(now, ask.id, out);
     }
 
-    /// Asks a prompt's first readers how much waits there, where own reads tell this router too seldom.
-    fn ask_readers(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
+    /// Asks a prompt's first prefill hosts how much waits there, where own reads tell this router too seldom.
+    fn ask_prefill(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
         if !self.set.limits.probes || self.hears(now, true) {
             return;
         }
         let Some(r) = self.requests.get_mut(&id) else { return };
         r.asked_until = now + ASK_WAIT;
-        for &at in &r.homes {
+        for &at in &r.preferred {
             self.hosts.entry(at).and_modify(|h| h.probe_at = now);
             out.push(Action::Probe(at));
         }
@@ -383,9 +381,9 @@
     fn hold(&mut self, id: RequestId) {
         self.unplace(id);
         let Some(r) = self.requests.get(&id) else { return };
-        let homes = self.homes(r, |h| h.phase == Phase::Serving).iter().map(|h| h.id).collect();
+        let preferred = self.preferred(r, |h| h.phase == Phase::Serving).iter().map(|h| h.id).collect();
         let Some(r) = self.requests.get_mut(&id) else { return };
-        (r.reader, r.homes, r.late, r.stuck) = (None, homes, false, 0);
+        (r.prefill, r.preferred, r.late, r.stuck) = (None, preferred, false, 0);
         r.stage = if r.over_share { Stage::Low } else { Stage::High };
         let tier = if r.over_share { &mut self.low } else { &mut self.high };
         tier.insert((r.aim_at, id));
@@ -416,13 +414,13 @@
     }
 
     /// The shortest of the times that `of` gives for running hosts; zero if there are none.
-    fn quickest(&self, readers: bool, of: impl Fn(&Host) -> f64) -> f64 {
-        self.serving(readers).map(of).min_by(f64::total_cmp).unwrap_or(0.0)
+    fn quickest(&self, prefill: bool, of: impl Fn(&Host) -> f64) -> f64 {
+        self.serving(prefill).map(of).min_by(f64::total_cmp).unwrap_or(0.0)
     }
 
-    /// The running readers, or all others that run.
-    fn serving(&self, readers: bool) -> impl Iterator<Item = &Host> {
-        self.hosts.values().filter(move |h| (h.role == Role::Read) == readers && h.phase == Phase::Serving)
+    /// The running prefill hosts, or all others that run.
+    fn serving(&self, prefill: bool) -> impl Iterator<Item = &Host> {
+        self.hosts.values().filter(move |h| (h.role == Role::Prefill) == prefill && h.phase == Phase::Serving)
     }
 
     // ---- Admission ----
@@ -435,42 +433,42 @@
             window.sort_by(|a, b| dice(a).total_cmp(&dice(b)));
             window.retain(|key| now >= self.requests[&key.1].asked_until);
             let passes = |key: &(Micros, RequestId)| Some((*key, self.pair(now, key.1, true)?));
-            let Some((key, (reader, writer))) = window.iter().find_map(passes) else { break };
+            let Some((key, (prefill, decode))) = window.iter().find_map(passes) else { break };
             self.high.remove(&key);
-            self.start(now, key.1, reader, writer, out);
+            self.start(now, key.1, prefill, decode, out);
         }
         // Late reads make the next late: of the low tier one at a time.
         let low_reads = |r: &Request| r.from_low && matches!(r.stage, Stage::Reading | Stage::Writing);
         if self.high.is_empty()
             && !self.requests.values().any(low_reads)
             && let Some(&key) = self.low.first()
-            && let Some((reader, writer)) = self.pair(now, key.1, false)
+            && let Some((prefill, decode)) = self.pair(now, key.1, false)
         {
             self.low.remove(&key);
-            self.start(now, key.1, reader, writer, out);
+            self.start(now, key.1, prefill, decode, out);
         }
     }
 
-    /// Admits a request: the writer counts it from now on, and its prompt is read.
+    /// Admits a request: the decode host counts it from now on, and its prompt is read.
     fn start(
-        &mut self, now: Micros, id: RequestId, reader: Option<HostId>, writer: HostId, out: &mut Vec<Action>,
+        &mut self, now: Micros, id: RequestId, prefill: Option<HostId>, decode: HostId, out: &mut Vec<Action>,
     ) {
-        self.place(id, writer);
-        let unread = self.unread_at(&self.hosts[&reader.unwrap_or(writer)], &self.requests[&id]);
+        self.place(id, decode);
+        let unread = self.unread_at(&self.hosts[&prefill.unwrap_or(decode)], &self.requests[&id]);
         self.requests.entry(id).and_modify(|r| (r.from_low, r.unread) = (r.stage == Stage::Low, unread));
-        let Some(reader) = reader else { return self.send_write(now, id, writer, out) };
-        let (r, host) = (&self.requests[&id], &self.hosts[&reader]);
+        let Some(prefill) = prefill else { return self.send_write(now, id, decode, out) };
+        let (r, host) = (&self.requests[&id], &self.hosts[&prefill]);
         // What is not kept there after all takes longer, and is no silence.
         let cold = (r.ask.prompt_tokens - unread).max(0.0) * self.read_cost;
         let (expected, load) =
             (self.read_time(now, host, r) + cold, self.reading(host) + unread + READ_EXTRA);
-        let read = |r: &mut Request| (r.stage, r.reader, r.read_load) = (Stage::Reading, Some(reader), load);
-        self.requests.entry(id).and_modify(read);
-        self.send(now, id, reader, expected, out);
+        let read = (Stage::Reading, Some(prefill), load);
+        self.requests.entry(id).and_modify(|r| (r.stage, r.prefill, r.read_load) = read);
+        self.send(now, id, prefill, expected, out);
     }
 
-    /// The test: `None` unless the writer keeps the pace of all, has memory, and the first token comes in
-    /// time. The figure is the room that would be left, as a share. Untested, only the room counts.
+    /// The test: `None` unless the host keeps the pace of all, has memory, and the first token comes in time.
+    /// The figure is the room that would be left, as a share. Untested, only the room counts.
     fn room(&self, now: Micros, r: &Request, host: &Host, ready_in: f64, tested: bool) -> Option<f64> {
         let joins = !host.streams.contains(&r.ask.id);
         let load = self.load(now, host) + if joins { 1.0 } else { 0.0 };
@@ -491,79 +489,79 @@
         Some(1.0 - slow.max(full).min(1e6))
     }
 
-    /// All streams at a writer: the own, and others' by the memory that they hold.
+    /// All streams at a decode host: the own, and others' by the memory that they hold.
     fn load(&self, now: Micros, host: &Host) -> f64 {
         host.streams.len() as f64 + self.others_at(now, host) / self.footprint.max(1.0)
     }
 
-    /// Tokens that own requests at a writer hold, or will.
+    /// Tokens that own requests at a decode host hold, or will.
     fn own_tokens(&self, host: &Host, of: impl Fn(&Request) -> bool) -> f64 {
         let own = host.streams.iter().filter_map(|id| self.requests.get(id));
         own.filter(|r| of(r)).map(|r| r.footprint).sum()
     }
 
-    /// Tokens that others hold at a writer: its last report, fading towards the mean of all writers'.
+    /// Tokens that others hold at a decode host: its last report, fading towards the mean of all.
     fn others_at(&self, now: Micros, host: &Host) -> f64 {
         let mean = if host.memory.is_finite() { self.others * host.memory } else { 0.0 };
         host.others.map_or(mean, |o| o.get(now, mean))
     }
 
-    /// Time until a first token at a writer; an attempt waiting longer than that speaks too.
+    /// Time until a first token at a decode host; an attempt waiting longer than that speaks too.
     fn first_time(&self, now: Micros, host: &Host) -> f64 {
         host.first_took.get(now, self.first_took.value).max(host.oldest_pending(now))
     }
 
     // ---- Pairing ----
 
-    /// Reader and writer for a held request, if any pass.
+    /// Prefill server and decode host for a held request, if any pass.
     fn pair(&self, now: Micros, id: RequestId, tested: bool) -> Option<(Option<HostId>, HostId)> {
         let r = self.requests.get(&id)?;
-        // The quickest home that passes; a read and a write must both be left.
+        // The quickest preferred host that passes; a read and a write must both be left.
         let most = self.set.limits.max_attempts;
-        let mut homes = self.homes(r, |h| r.sent + 2 <= most && self.takes(now, h, r));
-        homes.sort_by(|a, b| self.read_time(now, a, r).total_cmp(&self.read_time(now, b, r)));
-        let paired = homes.iter().find_map(|at| {
+        let mut preferred = self.preferred(r, |h| r.sent + 2 <= most && self.takes(now, h, r));
+        preferred.sort_by(|a, b| self.read_time(now, a, r).total_cmp(&self.read_time(now, b, r)));
+        let paired = preferred.iter().find_map(|at| {
             let ready_in = self.read_time(now, at, r) * READ_MARGIN;
             let pick =
-                |far| self.choose_writer(now, r, Some(at), ready_in, tested, |h| far != (h.cell == at.cell));
-            // Exception: of a cell that reads more than its writers can take, the rest is written elsewhere.
+                |far| self.choose_decode(now, r, Some(at), ready_in, tested, |h| far != (h.cell == at.cell));
+            // Exception: what a cell reads beyond what its decode hosts can take is written elsewhere.
             let spills = chance(at.id.0, r.ask.id.0) > at.stay;
             Some((Some(at.id), pick(spills).or_else(|| pick(!spills))?))
         });
-        // Exception: where no reader passes, a mixed host that passes reads by itself. Guards against readers
-        // drained, lost or jammed; slows that host's streams, so it comes last.
+        // Exception: where no prefill host passes, a mixed host that passes reads by itself: last, as this
+        // slows its streams.
         let in_time = |h: &Host| self.read_time(now, h, r) * READ_MARGIN <= (r.aim_at - now) as f64;
         let fits =
-            |h: &Host| (h.role == Role::Both || self.set.limits.writers_read) && (!tested || in_time(h));
-        paired.or_else(|| Some((None, self.choose_writer(now, r, None, 0.0, tested, fits)?)))
+            |h: &Host| (h.role == Role::Mixed || self.set.limits.local_prefill) && (!tested || in_time(h));
+        paired.or_else(|| Some((None, self.choose_decode(now, r, None, 0.0, tested, fits)?)))
     }
 
-    /// Rendezvous hashing of the shared beginning (else the session) over the readers, alike at every router.
-    /// Few are its homes: a text read anywhere else is read anew and pushes others out of the memory there.
-    fn homes(&self, r: &Request, of: impl Fn(&Host) -> bool) -> Vec<&Host> {
+    /// Rendezvous hashing of the shared beginning (else the session) over prefill hosts, alike everywhere.
+    /// They are few: a text read anywhere else is read anew and pushes others out of the memory there.
+    fn preferred(&self, r: &Request, of: impl Fn(&Host) -> bool) -> Vec<&Host> {
         let key = r.ask.prefix.or(r.ask.session).unwrap_or(TextKey(r.ask.id.0));
-        // Fewer begin where the cell has no writers to take them, as their states would crowd its link.
+        // Fewer begin where the cell has no decode hosts to take them, as their states would crowd its link.
         let place = |h: &Host| weighted(h.id.0, key.0, (2.0 * h.stay).clamp(STAY_LEAST, 1.0));
-        let mut homes: Vec<_> = self.hosts.values().filter(|h| h.role == Role::Read && of(h)).collect();
-        homes.sort_by(|a, b| place(b).total_cmp(&place(a)));
-        homes.truncate(HOMES);
-        homes
+        let mut hosts: Vec<_> = self.hosts.values().filter(|h| h.role == Role::Prefill && of(h)).collect();
+        hosts.sort_by(|a, b| place(b).total_cmp(&place(a)));
+        hosts.truncate(PREFERRED);
+        hosts
     }
 
-    /// A writer by chance, the more room the likelier, lest routers that know the same choose the same.
-    fn choose_writer(
-        &self, now: Micros, r: &Request, reader: Option<&Host>, ready_in: f64, tested: bool,
+    /// A decode host by chance, the more room the likelier, lest routers that know the same choose the same.
+    fn choose_decode(
+        &self, now: Micros, r: &Request, prefill: Option<&Host>, ready_in: f64, tested: bool,
         wanted: impl Fn(&Host) -> bool,
     ) -> Option<HostId> {
-        // What leaves its cell goes where the list shows writers to spare, mostly in the same zone.
+        // What leaves its cell goes where the list shows decode hosts to spare, mostly in the same zone.
         let place = |h: &Host, from: &Host| match (from.cell == h.cell, from.zone == h.zone) {
             (true, _) => 1.0,
             (_, near) => h.spare * if near { 1.0 } else { FAR_WEIGHT },
         };
-        let fits = |h: &&Host| h.role != Role::Read && self.takes(now, h, r) && wanted(h);
+        let fits = |h: &&Host| h.role != Role::Prefill && self.takes(now, h, r) && wanted(h);
         let drawn = |h: &Host| {
             let room = self.room(now, r, h, ready_in, tested)?;
-            let weight = room.max(0.0).powf(CHOICE) * reader.map_or(1.0, |from| place(h, from));
+            let weight = room.max(0.0).powf(CHOICE) * prefill.map_or(1.0, |from| place(h, from));
             Some((if room > 0.0 { weighted(h.id.0, self.salt ^ r.ask.id.0, weight) } else { room }, h.id))
         };
         let ranked = self.hosts.values().filter(fits).filter_map(drawn);
@@ -578,9 +576,9 @@
         kept(r.ask.prefix, r.ask.prefix_tokens).max(kept(r.ask.session, r.ask.prompt_tokens))
     }
 
-    /// Tokens left to read there: at its home a prompt has usually been begun by other routers' reads.
+    /// Tokens left to read there: where it is preferred, other routers' reads have usually begun a prompt.
     fn unread_at(&self, host: &Host, r: &Request) -> f64 {
-        let rank = r.homes.iter().position(|&h| h == host.id);
+        let rank = r.preferred.iter().position(|&h| h == host.id);
         let usual = rank.map_or(0.0, |rank| self.kept_share[rank] * r.ask.prefix_tokens);
         r.ask.prompt_tokens - Self::known_at(host, r).max(usual)
     }
@@ -591,7 +589,7 @@
         out.filter(|r| r.stage == Stage::Reading).map(|r| r.unread + READ_EXTRA).sum()
     }
 
-    /// Time in which a reader would have read this prompt, after the own reads before it.
+    /// Time in which a prefill host would have read this prompt, after the own reads before it.
     fn read_time(&self, now: Micros, host: &Host, r: &Request) -> f64 {
         let cost = self.read_cost / host.warmth(now, &self.set.rules);
         let age = now - host.told_at;
@@ -604,7 +602,7 @@
             .max(host.oldest_pending(now))
     }
 
-    /// Sends on the states that wait: to the admitted writer if it still passes, else to another.
+    /// Sends on the states that wait: to the admitted decode host if it still passes, else to another.
     fn send_ready(&mut self, now: Micros, out: &mut Vec<Action>) {
         let ready = self.requests.iter().filter(|(_, r)| r.stage == Stage::Ready);
         let ready: Vec<_> = ready.map(|(&id, _)| id).collect();
@@ -616,9 +614,9 @@
             let spent = r.sent >= self.set.limits.max_attempts
                 || now >= r.deadline - ANSWER_MARGIN
                 || held_for >= READY_MOST;
-            if let Some(writer) = self.writer_for_state(now, r, held_for).filter(|_| !spent) {
-                self.place(id, writer);
-                self.send_write(now, id, writer, out);
+            if let Some(decode) = self.decode_for_state(now, r, held_for).filter(|_| !spent) {
+                self.place(id, decode);
+                self.send_write(now, id, decode, out);
             } else if spent {
                 // Guards the pin limit: nothing takes this state in time.
                 out.push(Action::Release(id));
@@ -627,19 +625,19 @@
         }
     }
 
-    fn writer_for_state(&self, now: Micros, r: &Request, held_for: f64) -> Option<HostId> {
-        let reader = r.reader.and_then(|id| self.hosts.get(&id));
+    fn decode_for_state(&self, now: Micros, r: &Request, held_for: f64) -> Option<HostId> {
+        let prefill = r.prefill.and_then(|id| self.hosts.get(&id));
         let pick = |tested, far| {
-            let near = |h: &Host| far || reader.is_none_or(|reader| reader.cell == h.cell);
-            self.choose_writer(now, r, reader, 0.0, tested, near)
+            let near = |h: &Host| far || prefill.is_none_or(|prefill| prefill.cell == h.cell);
+            self.choose_decode(now, r, prefill, 0.0, tested, near)
         };
-        // What silences one writer, a jam or a loss, mostly has its neighbours: the next try goes elsewhere.
+        // What silences one host, a jam or a loss, mostly has its neighbours: the next try goes elsewhere.
         let elsewhere = || {
             let away = |h: &Host| r.silent.is_some_and(|cell| cell != h.cell);
-            self.choose_writer(now, r, reader, 0.0, true, away)
+            self.choose_decode(now, r, prefill, 0.0, true, away)
         };
         let same = |h: &Host| h.streams.contains(&r.ask.id);
-        let admitted = self.choose_writer(now, r, reader, 0.0, true, same);
+        let admitted = self.choose_decode(now, r, prefill, 0.0, true, same);
         let any = |tested| pick(tested, false).or_else(|| pick(tested, true));
         admitted
             .or_else(elsewhere)
@@ -649,25 +647,25 @@
 
     // ---- Attempts and failures ----
 
-    fn place(&mut self, id: RequestId, writer: HostId) {
+    fn place(&mut self, id: RequestId, decode: HostId) {
         self.unplace(id);
-        let (Some(r), Some(host)) = (self.requests.get_mut(&id), self.hosts.get_mut(&writer)) else { return };
-        r.writer = Some(writer);
+        let (Some(r), Some(host)) = (self.requests.get_mut(&id), self.hosts.get_mut(&decode)) else { return };
+        r.decode = Some(decode);
         host.streams.insert(id);
     }
 
     fn unplace(&mut self, id: RequestId) {
         let Some(r) = self.requests.get_mut(&id) else { return };
-        let Some(host) = r.writer.take().and_then(|w| self.hosts.get_mut(&w)) else { return };
+        let Some(host) = r.decode.take().and_then(|w| self.hosts.get_mut(&w)) else { return };
         host.streams.remove(&id);
     }
 
-    fn send_write(&mut self, now: Micros, id: RequestId, writer: HostId, out: &mut Vec<Action>) {
-        let (host, r) = (&self.hosts[&writer], &self.requests[&id]);
-        let reads = if r.reader.is_none() { self.read_time(now, host, r) } else { 0.0 };
+    fn send_write(&mut self, now: Micros, id: RequestId, decode: HostId, out: &mut Vec<Action>) {
+        let (host, r) = (&self.hosts[&decode], &self.requests[&id]);
+        let reads = if r.prefill.is_none() { self.read_time(now, host, r) } else { 0.0 };
         let expected = self.first_time(now, host) + reads;
         self.requests.entry(id).and_modify(|r| r.stage = Stage::Writing);
-        self.send(now, id, writer, expected, out);
+        self.send(now, id, decode, expected, out);
     }
 
     fn send(&mut self, now: Micros, id: RequestId, to: HostId, expected: f64, out: &mut Vec<Action>) {
@@ -677,7 +675,7 @@
         let share = if left * TRY_SHARE > expected * 1.5 { left * TRY_SHARE } else { left };
         let mut time_out = (expected * PATIENCE + PATIENCE_EXTRA).min(share) as Micros;
         (r.sent, r.begun) = (r.sent + 1, now);
-        if r.ask.whole && host.role != Role::Read {
+        if r.ask.whole && host.role != Role::Prefill {
             // Its silence tells nothing of the host until all is written, so it may take all the time left.
             time_out = left as Micros;
         } else {
@@ -697,7 +695,7 @@
         let (Some(r), Some(host)) = (self.requests.get_mut(&id), self.hosts.get_mut(&at)) else { return };
         host.pending.remove(&id);
         (r.stage, r.begun) = (Stage::Streaming, now);
-        if r.reader.is_some() {
+        if r.prefill.is_some() {
             return self.first_token(now, at, took);
         }
         host.kept.extend(r.ask.prefix.map(|key| (key, r.ask.prefix_tokens)));
@@ -736,8 +734,8 @@
             }
             Outcome::NoState | Outcome::Cancelled | Outcome::Moot => {}
             // A few come from any host, however well it is; only a host that sends nothing else fails.
-            Outcome::Spoilt if self.hosts.get(&at).is_some_and(|h| h.spoilt < SPOILT_MOST) => {
-                self.hosts.entry(at).and_modify(|h| h.spoilt += 1);
+            Outcome::Malformed if self.hosts.get(&at).is_some_and(|h| h.malformed < MALFORMED_MOST) => {
+                self.hosts.entry(at).and_modify(|h| h.malformed += 1);
             }
             _ => self.failed(now, at, sent_at, out),
         }
@@ -759,13 +757,12 @@
                 }
                 let Some(r) = self.requests.get_mut(&id) else { return };
                 let stuck = r.stuck >= STUCK && r.sent + 2 <= self.set.limits.max_attempts;
-                if let Some(reader) = r.reader.filter(|_| stuck).and_then(|id| self.hosts.get_mut(&id)) {
-                    reader.stuck_until = now + STUCK_REST;
+                if let Some(prefill) = r.prefill.filter(|_| stuck).and_then(|id| self.hosts.get_mut(&id)) {
+                    prefill.stuck_until = now + STUCK_REST;
                 }
                 r.may_have_run = r.may_have_run.or(ran.then_some((at, sent_at)));
-                if r.reader.is_none() || outcome == Outcome::Spoilt || stuck {
-                    // An answer had begun, so the state has moved: another writer would have none. Or nobody
-                    // can fetch it where it is.
+                if r.prefill.is_none() || outcome == Outcome::Malformed || stuck {
+                    // An answer had begun, so the state has moved. Or nobody can fetch it where it is.
                     out.push(Action::Release(id));
                     self.hold(id);
                 } else {
@@ -808,7 +805,7 @@
     fn was_read(&mut self, now: Micros, id: RequestId, at: HostId, kept: f64, took: Micros) {
         self.worked(now, at);
         let Some(r) = self.requests.get(&id) else { return };
-        if let Some(rank) = r.homes.iter().position(|&h| h == at && r.ask.prefix.is_some()) {
+        if let Some(rank) = r.preferred.iter().position(|&h| h == at && r.ask.prefix.is_some()) {
             let share = (kept / r.ask.prefix_tokens.max(1.0)).min(1.0);
             self.kept_share[rank] += FLEET_GAIN * (share - self.kept_share[rank]);
         }
@@ -842,7 +839,7 @@
             host.started = Some(now);
             self.start_slowly(now, at);
         }
-        self.hosts.entry(at).and_modify(|h| (h.fails, h.spoilt, h.rest_until) = (0, 0, now));
+        self.hosts.entry(at).and_modify(|h| (h.fails, h.malformed, h.rest_until) = (0, 0, now));
     }
 
     fn left(&mut self, id: RequestId, out: &mut Vec<Action>) {
@@ -894,7 +891,7 @@
 
     fn may_run_anywhere(&self, now: Micros, id: RequestId) -> bool {
         let Some(r) = self.requests.get(&id) else { return true };
-        let needed = if r.reader.is_some() { 1 } else { 2 };
+        let needed = if r.prefill.is_some() { 1 } else { 2 };
         r.sent + needed <= self.set.limits.max_attempts
             && (r.may_have_run.is_none() || self.serving(false).any(|h| self.may_run_at(now, r, h.id)))
     }
@@ -927,18 +924,18 @@
         }
         // What is gone is forgotten once nothing is out there: a long day brings ever new hosts.
         self.hosts.retain(|_, h| h.phase != Phase::Gone || !h.streams.is_empty() || !h.pending.is_empty());
-        self.weigh_cells();
+        self.update_cell_shares();
     }
 
-    /// What each cell's writers can take of its own readers' states and of others', from the list alone.
-    fn weigh_cells(&mut self) {
+    /// What each cell's decode hosts can take of its own prefill hosts' states and of others', by the list.
+    fn update_cell_shares(&mut self) {
         let mut cells: BTreeMap<CellId, (f64, f64)> = BTreeMap::new();
         self.serving(true).for_each(|h| cells.entry(h.cell).or_default().0 += 1.0);
         self.serving(false).for_each(|h| cells.entry(h.cell).or_default().1 += 1.0);
-        let (readers, writers) = cells.values().fold((0.0, 0.0), |sum, c| (sum.0 + c.0, sum.1 + c.1));
+        let (prefill, decode) = cells.values().fold((0.0, 0.0), |sum, c| (sum.0 + c.0, sum.1 + c.1));
         for h in self.hosts.values_mut() {
             let (near, at) = cells.get(&h.cell).copied().unwrap_or_default();
-            let share = (at / f64::max(writers, 1.0)) / (near / f64::max(readers, 1.0)).max(1e-9);
+            let share = (at / f64::max(decode, 1.0)) / (near / f64::max(prefill, 1.0)).max(1e-9);
             h.stay = CELL_SLACK * share;
             h.spare = (1.0 - 1.0 / share.max(1e-9)).max(SPARE_LEAST);
         }
@@ -959,27 +956,31 @@
     fn slow_start_budget(&self, now: Micros, host: &Host) -> f64 {
         let (rules, unused) = (&self.set.rules, (now - host.unused_since) as f64);
         let warmth = host.warmth(now - (unused / 2.0) as Micros, rules);
-        unused * self.own_rate(now, host.role == Role::Read) * rules.fall_multiple * warmth * SLOW_START_SHARE
+        unused
+            * self.own_rate(now, host.role == Role::Prefill)
+            * rules.fall_multiple
+            * warmth
+            * SLOW_START_SHARE
     }
 
-    /// What comes in here, a microsecond, for each reader or each writer.
-    fn own_rate(&self, now: Micros, readers: bool) -> f64 {
+    /// What comes in here, a microsecond, for each prefill host or each decode host.
+    fn own_rate(&self, now: Micros, prefill: bool) -> f64 {
         let seen = 1.0 - 0.5f64.powf((now - self.since.unwrap_or(now)) as f64 / FADE);
         let rate = self.arrivals.get(now, 0.0) / seen.max(SEEN_LEAST) / FADE;
-        rate / self.serving(readers).count().max(1) as f64
+        rate / self.serving(prefill).count().max(1) as f64
     }
 
-    /// Whether own requests bring reports from each reader or each writer as often as these are made anew.
-    fn hears(&self, now: Micros, readers: bool) -> bool {
-        self.set.routers < 2 || self.own_rate(now, readers) * REPORT as f64 > 1.0
+    /// Whether own requests bring reports from each such host as often as these are made anew.
+    fn hears(&self, now: Micros, prefill: bool) -> bool {
+        self.set.routers < 2 || self.own_rate(now, prefill) * REPORT as f64 > 1.0
     }
 
-    /// What others hold of a writer's memory, from its report; absurd reports are passed over.
+    /// What others hold of a decode host's memory, from its report; absurd reports are passed over.
     fn report(&mut self, now: Micros, at: HostId, load: Option<&Load>) {
         if let (Some(host), Some(tokens)) = (self.hosts.get_mut(&at), load.and_then(|l| l.waiting_tokens)) {
             (host.backlog, host.told_at) = (tokens.max(0.0).min(host.memory), now);
         }
-        let host = self.hosts.get(&at).filter(|h| h.role != Role::Read && h.memory.is_finite());
+        let host = self.hosts.get(&at).filter(|h| h.role != Role::Prefill && h.memory.is_finite());
         let share = load.and_then(|load| load.memory).filter(|share| (0.0..=2.0).contains(share));
         let (Some(host), Some(share)) = (host, share) else { return };
         let others = (share * host.memory - self.own_tokens(host, |r| r.stage == Stage::Streaming)).max(0.0);
@@ -987,14 +988,13 @@
         self.hosts.entry(at).and_modify(|h| h.others = Some(Fading { value: others, at: now }));
     }
 
-    /// Asks the writers how much others hold there, while there is anything to decide and own streams tell
-    /// this router too seldom.
+    /// Asks the decode hosts how much others hold there, where own streams tell this router too seldom.
     fn probe(&mut self, now: Micros, out: &mut Vec<Action>) {
         if !self.set.limits.probes || self.requests.is_empty() || self.hears(now, false) {
             return;
         }
         let every = PROBE_EACH * f64::from(self.set.routers);
-        for host in self.hosts.values_mut().filter(|h| h.role != Role::Read && h.phase == Phase::Serving) {
+        for host in self.hosts.values_mut().filter(|h| h.role != Role::Prefill && h.phase == Phase::Serving) {
             if now >= host.probe_at {
                 out.extend((host.probe_at > 0).then_some(Action::Probe(host.id)));
                 // By chance, lest all are asked at once for ever, or by all routers at the start.
@@ -1007,8 +1007,8 @@
 
     /// Puts the first send to a cold host off by chance, as all routers hear of a start at once.
     fn start_slowly(&mut self, now: Micros, to: HostId) {
-        let readers = self.hosts.get(&to).is_some_and(|h| h.role == Role::Read);
-        let part = self.own_rate(now, readers) * self.set.rules.fall_multiple * self.set.rules.start_capacity;
+        let prefill = self.hosts.get(&to).is_some_and(|h| h.role == Role::Prefill);
+        let part = self.own_rate(now, prefill) * self.set.rules.fall_multiple * self.set.rules.start_capacity;
         let used = (chance(to.0, now as u64 ^ self.salt) / (part * SLOW_START_SHARE).max(1e-9)) as Micros;
         self.hosts.entry(to).and_modify(|h| h.unused_since = now - used);
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,4 +1,4 @@
-//! The conductor: reads its configuration, starts its planners and fronts, and ends when told to.
+//! The router: reads its configuration, starts its planners and fronts, and ends when told to.
 #![forbid(unsafe_code)]
 
 use std::path::PathBuf;
@@ -53,7 +53,7 @@
     spawn_local(reload::follow(hangups, path, discovery, counters.clone()));
     let core = Core { planner, upstream, counters };
     spawn_local(tend_fleet(core.clone(), orders));
-    spawn_local(async move { pool.tidy().await });
+    spawn_local(async move { pool.close_stale().await });
 
     let mut directory =
         Directory::new(core.clone(), config.settings, config.names.clone(), clock, config.seed);
@@ -92,12 +92,12 @@
     let upstream = Rc::new(Upstream::new(pool.clone(), dialect, counters.clone()));
     let core = Core { planner, upstream, counters };
     spawn_local(tend_fleet(core.clone(), orders));
-    let tidied = pool.clone();
-    spawn_local(async move { tidied.tidy().await });
+    let swept = pool.clone();
+    spawn_local(async move { swept.close_stale().await });
     let mut members = Vec::new();
     for (number, (_, addr)) in config.servers.iter().enumerate() {
         let host = HostId(number as u32);
-        pool.place(host, Some(Site { addr: *addr, role: Role::Both, ready: true }));
+        pool.place(host, Some(Site { addr: *addr, role: Role::Mixed, ready: true }));
         members.push(Member { host, ..Member::default() });
     }
     core.planner.hosts(true, members);
--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -149,9 +149,9 @@
         &self.counters
     }
 
-    /// Whether a host is a reader, where states may be left.
+    /// Whether a host is a prefill server, where states may be left.
     pub fn reads(&self, host: HostId) -> bool {
-        self.pool.site(host).is_none_or(|s| s.role == Role::Read)
+        self.pool.site(host).is_none_or(|s| s.role == Role::Prefill)
     }
 
     /// Whether anything can be held at this fleet's instances.
@@ -218,7 +218,7 @@
                     if !untouched || connection.fresh() {
                         return ended(match (mark.written(), fault.error().is_parse()) {
                             (false, _) => Outcome::Unreachable,
-                            (true, true) => Outcome::Spoilt,
+                            (true, true) => Outcome::Malformed,
                             (true, false) => Outcome::Broken,
                         });
                     }
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -1,4 +1,4 @@
-//! What a conductor is told at its start.
+//! What a router is told at its start.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -29,7 +29,7 @@
     Nothing,
 }
 
-/// What the platform tells a conductor.
+/// What the platform tells a router.
 pub struct Platform {
     /// Its name.
     pub name: String,
@@ -307,7 +307,7 @@
         }
         let settings = Settings {
             routers: 1,
-            kinds: vec![Kind { role: Role::Both, memory: None }],
+            kinds: vec![Kind { role: Role::Mixed, memory: None }],
             classes,
             limits: crate::api::Limits {
                 cancel: true,
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -34,7 +34,7 @@
     taken,
     /// Requests turned down for their form with a 4xx, never taken in.
     malformed,
-    /// Requests refused at intake because the conductor was full, never taken in.
+    /// Requests refused at intake because the router was full, never taken in.
     shed,
     /// Final answers: a whole stream.
     served,
@@ -67,7 +67,7 @@
     /// Attempts whose connection broke.
     attempts_broken,
     /// Attempts whose answer could not be read.
-    attempts_spoilt,
+    attempts_malformed,
     /// Attempts withdrawn.
     attempts_cancelled,
     /// Attempts ordered but never sent.
@@ -109,7 +109,7 @@
             Outcome::TimedOut => &self.attempts_timed_out,
             Outcome::Unreachable => &self.attempts_unreachable,
             Outcome::Broken => &self.attempts_broken,
-            Outcome::Spoilt => &self.attempts_spoilt,
+            Outcome::Malformed => &self.attempts_malformed,
             Outcome::Cancelled => &self.attempts_cancelled,
             Outcome::Moot => &self.attempts_moot,
         });
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -28,9 +28,9 @@
 /// For discovery to take a connection and to answer where it is asked. Calls wait in turn there and are told when they
 /// have waited too long: one that is given up sooner is still worked on, and the next only lengthens the queue.
 const ANSWER: Duration = Duration::from_secs(4);
-/// The same where an agent of this conductor's own is sent the list: it answers at once, or not before it is back.
+/// The same where an agent of this router's own is sent the list: it answers at once, or not before it is back.
 const AGENT_ANSWER: Duration = Duration::from_secs(1);
-/// Over which the calls of a fleet are spread, for each of its conductors: where the list must be asked for,
+/// Over which the calls of a fleet are spread, for each of its routers: where the list must be asked for,
 /// discovery is one service for all that has been seen to take 55 ms for a call and to let none wait over 2 s.
 const CALL_EACH: Duration = Duration::from_millis(40);
 /// Within which the first further try falls, however small the fleet.
@@ -111,10 +111,10 @@
 }
 
 impl Backoff {
-    /// For one of so many conductors that share discovery; each has a seed of its own.
-    pub fn new(conductors: u32, seed: u64) -> Self {
-        let spread = (CALL_EACH * conductors).min(AGAIN_MOST);
-        let first = (CALL_EACH * conductors).clamp(AGAIN_LEAST, AGAIN_MOST);
+    /// For one of so many routers that share discovery; each has a seed of its own.
+    pub fn new(routers: u32, seed: u64) -> Self {
+        let spread = (CALL_EACH * routers).min(AGAIN_MOST);
+        let first = (CALL_EACH * routers).clamp(AGAIN_LEAST, AGAIN_MOST);
         Backoff { spread, first, failed: 0, together: true, seed, drawn: 0 }
     }
 
@@ -124,7 +124,7 @@
         (xxh3_64_with_seed(&self.drawn.to_le_bytes(), self.seed) >> 32) as f64 / f64::from(u32::MAX)
     }
 
-    /// The wait before the first call of a conductor that starts with a list and can serve by it meanwhile: a fleet
+    /// The wait before the first call of a router that starts with a list and can serve by it meanwhile: a fleet
     /// that starts or restarts together must not ask together.
     pub fn at_start(&mut self) -> Duration {
         self.together = false;
@@ -169,7 +169,7 @@
         Directory { core, settings, names, clock, ids: HashMap::new(), version: None, backoff, patience }
     }
 
-    /// The same number for the same id at every conductor, whatever its order among the rest.
+    /// The same number for the same id at every router, whatever its order among the rest.
     fn host(&mut self, id: &str) -> HostId {
         if let Some(&host) = self.ids.get(id) {
             return host;
--- a/src/node/events.rs
+++ b/src/node/events.rs
@@ -1,4 +1,4 @@
-//! A running answer, passed on in whole events: what an instance spoils is told from what it means.
+//! A running answer, passed on in whole events: what an instance malforms is told from what it means.
 
 use std::error::Error;
 use std::io;
@@ -63,7 +63,7 @@
         Events { pool, host, connection, body, form, ready: None, framer, heard, ended: false }
     }
 
-    /// Waits for the first event. An answer that breaks, ends, is spoilt or tells an error before it has not begun.
+    /// Waits for the first event. An answer that breaks, ends, is malformed or tells an error before it has not begun.
     pub async fn open(&mut self) -> Result<(), Outcome> {
         let first = self.read().await;
         if self.told_error() {
@@ -74,7 +74,7 @@
                 self.ready = Some(bytes);
                 Ok(())
             }
-            Some(Err(StreamBroken::Spoilt)) => Err(Outcome::Spoilt),
+            Some(Err(StreamBroken::Malformed)) => Err(Outcome::Malformed),
             _ => Err(Outcome::Broken),
         }
     }
@@ -116,7 +116,7 @@
                             self.heard = Instant::now();
                             return Some(Ok(bytes));
                         }
-                        Err(Spoilt) => return self.broke(StreamBroken::Spoilt),
+                        Err(Malformed) => return self.broke(StreamBroken::Malformed),
                     }
                 }
                 Ok(None) if self.framer.as_mut().is_none_or(Framer::may_end) => {
@@ -135,7 +135,7 @@
                 Ok(None) => return self.broke(StreamBroken::Cut),
                 Ok(Some(Err(fault))) => {
                     return self.broke(if unreadable(&fault) {
-                        StreamBroken::Spoilt
+                        StreamBroken::Malformed
                     } else {
                         StreamBroken::Cut
                     });
@@ -164,7 +164,7 @@
 
 /// What came is no event stream.
 #[derive(Debug)]
-struct Spoilt;
+struct Malformed;
 
 /// Cuts a stream into whole events across any cuts of its transport; changes nothing.
 #[derive(Default)]
@@ -183,7 +183,7 @@
 
 impl Framer {
     /// Takes bytes in and gives all events that are whole; nothing while there are none.
-    fn take(&mut self, bytes: Bytes) -> Result<Bytes, Spoilt> {
+    fn take(&mut self, bytes: Bytes) -> Result<Bytes, Malformed> {
         if self.held.is_empty() && whole_events(&bytes) == bytes.len() {
             self.check(&bytes)?;
             return Ok(bytes);
@@ -194,14 +194,14 @@
         // Noise shows at once; it is not waited for until it has filled an event.
         let text = std::str::from_utf8(&self.held).map_or_else(|e| e.error_len().is_none(), |_| true);
         if !text || self.held.iter().any(is_control) || self.held.len() > EVENT_MOST {
-            return Err(Spoilt);
+            return Err(Malformed);
         }
         Ok(whole)
     }
 
-    fn check(&mut self, events: &[u8]) -> Result<(), Spoilt> {
+    fn check(&mut self, events: &[u8]) -> Result<(), Malformed> {
         if std::str::from_utf8(events).is_err() || events.iter().any(is_control) {
-            return Err(Spoilt);
+            return Err(Malformed);
         }
         if self.chat {
             events.split(|&b| b == b'\n').for_each(|line| self.line(line.trim_ascii()));
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,4 +1,4 @@
-//! The real conductor: fronts take requests in, one task lives each request, planners decide.
+//! The real router: fronts take requests in, one task lives each request, planners decide.
 //!
 //! A request passes through the modules in this order: a [`front`] reads and checks it, its task in
 //! [`request`] asks a [`planner`] what to do, [`attempt`] plays one exchange with an instance over a
--- a/src/node/pool.rs
+++ b/src/node/pool.rs
@@ -330,7 +330,7 @@
     }
 
     /// Closes what has stood idle too long, for ever.
-    pub async fn tidy(&self) {
+    pub async fn close_stale(&self) {
         loop {
             tokio::time::sleep(self.limits.idle / 8).await;
             for shelf in self.shelves.borrow_mut().values_mut() {
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -15,8 +15,8 @@
     #[error("the stream was cut off")]
     Cut,
     /// It went on with what is no event stream.
-    #[error("the stream was spoilt")]
-    Spoilt,
+    #[error("the stream was malformed")]
+    Malformed,
 }
 
 /// A piece of a stream, or that it broke.
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -353,7 +353,7 @@
             }
             Passed::Broken(how) => {
                 add(&counters.broken);
-                if how == StreamBroken::Spoilt { Outcome::Spoilt } else { Outcome::Broken }
+                if how == StreamBroken::Malformed { Outcome::Malformed } else { Outcome::Broken }
             }
             Passed::Failed => {
                 add(&counters.failed);
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -369,7 +369,7 @@
     pub tenants: Vec<String>,
 }
 
-/// Reads the settings object, as the simulator's first message and a conductor's configuration hold it.
+/// Reads the settings object, as the simulator's first message and a router's configuration hold it.
 pub fn settings_from(options: Value) -> Result<(Settings, Names), String> {
     settings(serde_json::from_value(options).map_err(|e| e.to_string())?)
 }
@@ -411,18 +411,18 @@
     let kind = |at: usize| -> Result<Kind, String> {
         let name = &options.kinds[at];
         let role = match family.role_by_kind.get(at) {
-            Some(WireRole::Read) => Role::Read,
-            Some(WireRole::Write) => Role::Write,
-            Some(WireRole::Both) => Role::Both,
+            Some(WireRole::Read) => Role::Prefill,
+            Some(WireRole::Write) => Role::Decode,
+            Some(WireRole::Both) => Role::Mixed,
             None => return Err(format!("familyInfo.roleByKind has no entry for kind \"{name}\"")),
         };
         Ok(Kind { role, memory: family.memory_tokens.as_ref().and_then(|m| m.get(at).copied()) })
     };
     let kinds = (0..options.kinds.len()).map(kind).collect::<Result<Vec<_>, _>>()?;
-    if !kinds.iter().any(|k| k.role != Role::Write) {
+    if !kinds.iter().any(|k| k.role != Role::Decode) {
         return Err("familyInfo.roleByKind: no kind reads prompts".into());
     }
-    if !kinds.iter().any(|k| k.role != Role::Read) {
+    if !kinds.iter().any(|k| k.role != Role::Prefill) {
         return Err("familyInfo.roleByKind: no kind writes answers".into());
     }
     if options.balancers == 0 {
@@ -454,7 +454,7 @@
             come_back: limits.max_retry_after.filter(|_| limits.retry_after).map(micros),
             ahead: family.ahead,
             resume: family.resume,
-            writers_read: family.local_read,
+            local_prefill: family.local_read,
         },
         ask_for_list: matches!(options.membership_mode, MembershipMode::Ask),
     };
--- a/tests/common/rig.rs
+++ b/tests/common/rig.rs
@@ -5,17 +5,17 @@
 
 pub const MS: Micros = 1_000;
 pub const S: Micros = 1_000_000;
-pub const READER: u32 = 1;
-pub const WRITER: u32 = 10;
+pub const PREFILL: u32 = 1;
+pub const DECODE: u32 = 10;
 
 pub fn settings() -> Settings {
     Settings {
         routers: 2,
         zone: ZoneId(0),
         kinds: vec![
-            Kind { role: Role::Read, memory: Some(200_000.0) },
-            Kind { role: Role::Write, memory: Some(100_000.0) },
-            Kind { role: Role::Both, memory: Some(100_000.0) },
+            Kind { role: Role::Prefill, memory: Some(200_000.0) },
+            Kind { role: Role::Decode, memory: Some(100_000.0) },
+            Kind { role: Role::Mixed, memory: Some(100_000.0) },
         ],
         classes: vec![Class {
             aim: S,
@@ -44,7 +44,7 @@
             come_back: Some(S),
             ahead: false,
             resume: false,
-            writers_read: false,
+            local_prefill: false,
         },
         ask_for_list: false,
     }
@@ -104,13 +104,13 @@
         self.step(20 * MS, &[ended(id, host, outcome, false)])
     }
 
-    /// Plays a whole request; the stream takes so long. Gives its writer, if it came so far.
+    /// Plays a whole request; the stream takes so long. Gives its decode server, if it came so far.
     pub fn serve(&mut self, id: u64, stream: Micros) -> Option<u32> {
-        let reader = sent_to(&self.request(id))?;
-        let writer = sent_to(&self.end(id, reader, Outcome::Read))?;
-        self.step(20 * MS, &[began(id, writer)]);
-        self.step(stream, &[ended(id, writer, Outcome::Served, true)]);
-        Some(writer)
+        let prefill = sent_to(&self.request(id))?;
+        let decode = sent_to(&self.end(id, prefill, Outcome::Read))?;
+        self.step(20 * MS, &[began(id, decode)]);
+        self.step(stream, &[ended(id, decode, Outcome::Served, true)]);
+        Some(decode)
     }
 }
 
--- a/tests/connection_wait.rs
+++ b/tests/connection_wait.rs
@@ -25,7 +25,7 @@
 /// Far above any wait that is meant.
 const PATIENCE: Duration = Duration::from_secs(30);
 
-/// A core with one reader and one writer at this address, and room for a single connection to them. What is under
+/// A core with one prefill server and one decode server at this address, and room for a single connection to them. What is under
 /// way cannot be withdrawn.
 fn core(listener: &TcpListener) -> Core {
     let mut settings = rig::settings();
@@ -34,7 +34,7 @@
     let counters = Rc::new(Counters::default());
     let pool = Rc::new(Pool::new(limits, counters.clone()));
     let addr = listener.local_addr().expect("it listens");
-    let members = [rig::member(rig::READER, 0), rig::member(rig::WRITER, 1)];
+    let members = [rig::member(rig::PREFILL, 0), rig::member(rig::DECODE, 1)];
     for m in &members {
         pool.place(m.host, Some(Site { addr, role: settings.kinds[m.kind.0].role, ready: true }));
     }
@@ -56,7 +56,7 @@
 
 /// Takes the only connection that there is room for.
 async fn take_room(core: &Core, listener: &TcpListener) -> Connection {
-    let Ok(taken) = core.upstream.pool().connection(HostId(rig::READER)).await else {
+    let Ok(taken) = core.upstream.pool().connection(HostId(rig::PREFILL)).await else {
         panic!("it listens");
     };
     let _ = listener.accept().await.expect("the connection that takes the room");
@@ -133,7 +133,7 @@
     let upstream = core.upstream.clone();
     let attempt = spawn_local(async move {
         let times = Times { until: Instant::now() + PATIENCE, start_by };
-        let (first, _) = upstream.first(HostId(rig::READER), &payload(), times, &Progress::default()).await;
+        let (first, _) = upstream.first(HostId(rig::PREFILL), &payload(), times, &Progress::default()).await;
         let First::Ended(outcome) = first else { panic!("nobody answers") };
         outcome
     });
@@ -143,7 +143,7 @@
     let written = spawn_local(next_bytes(listener));
     let outcome = timeout(PATIENCE, attempt).await.expect("it ends").expect("it ends well");
     // The connections end here, and with them what the instance reads.
-    core.upstream.pool().place(HostId(rig::READER), None);
+    core.upstream.pool().place(HostId(rig::PREFILL), None);
     (outcome, timeout(PATIENCE, written).await.expect("it ends").expect("it ends well"))
 }
 
@@ -167,7 +167,7 @@
 #[test]
 fn an_attempt_that_waits_for_a_connection_is_not_sent_to_a_host_that_drains_by_then() {
     let drains = |core: &Core| {
-        let host = HostId(rig::READER);
+        let host = HostId(rig::PREFILL);
         let site = core.upstream.pool().site(host).expect("a known host");
         core.upstream.pool().place(host, Some(Site { ready: false, ..site }));
     };
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -1,4 +1,4 @@
-//! How a conductor asks discovery, which serves the whole fleet.
+//! How a router asks discovery, which serves the whole fleet.
 
 mod common;
 
@@ -29,7 +29,7 @@
     let listener = TcpListener::bind(format!("{base}:8500")).expect("a free address");
     let config = program::platform(&base);
     let text = std::fs::read_to_string(&config).expect("the file just written");
-    // Asked for, it is one service for all; where the list is pushed an agent of the conductor's own answers at once.
+    // Asked for, it is one service for all; where the list is pushed an agent of the router's own answers at once.
     let text = text.replace("\"membershipMode\": \"push\"", "\"membershipMode\": \"ask\"");
     let known = program::target(&base, "w1", "Ready");
     let known = format!("\"known\":{{\"version\":41,\"full\":true,\"servers\":[{known}]}},\"settings\"");
@@ -50,10 +50,10 @@
 }
 
 /// The most calls in any second, from `from` seconds on, of a fleet that starts at once and whose calls all fail.
-fn busiest_second(conductors: u32, from: u64) -> usize {
+fn busiest_second(routers: u32, from: u64) -> usize {
     let mut calls: BTreeMap<u64, usize> = BTreeMap::new();
-    for seed in 0..u64::from(conductors) {
-        let mut backoff = Backoff::new(conductors, seed);
+    for seed in 0..u64::from(routers) {
+        let mut backoff = Backoff::new(routers, seed);
         let mut at = backoff.at_start();
         while at < Duration::from_secs(60) {
             *calls.entry(at.as_secs()).or_default() += 1;
@@ -75,11 +75,11 @@
 #[test]
 fn no_conductor_of_any_fleet_waits_so_long_that_a_change_is_heard_after_six_seconds() {
     // Two of the six are for a call's turn at discovery.
-    for conductors in [1, 20, 100, 300, 1_000] {
+    for routers in [1, 20, 100, 300, 1_000] {
         for seed in 0..200 {
-            let mut backoff = Backoff::new(conductors, seed);
+            let mut backoff = Backoff::new(routers, seed);
             let longest = (0..8).map(|_| backoff.wait()).max().unwrap_or_default().max(backoff.at_start());
-            assert!(longest <= Duration::from_secs(4), "{longest:?} with {conductors}");
+            assert!(longest <= Duration::from_secs(4), "{longest:?} with {routers}");
         }
     }
 }
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -25,7 +25,7 @@
     let platform = Platform::read(&program::platform(&program::address())).expect("a good configuration");
     let pool = Pool::new(platform.pool, Default::default());
     let addr = platform.listen;
-    pool.place(HostId(7), Some(Site { addr, role: Role::Read, ready: true }));
+    pool.place(HostId(7), Some(Site { addr, role: Role::Prefill, ready: true }));
     assert_eq!(pool.hosts(), [HostId(7)]);
     pool.place(HostId(7), None);
     assert!(pool.hosts().is_empty());
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -7,21 +7,21 @@
 
 #[test]
 fn a_request_is_read_then_written() {
-    let mut rig = Rig::new(settings(), &[member(READER, 0), member(WRITER, 1)]);
-    assert_eq!(sent_to(&rig.request(1)), Some(READER));
-    assert_eq!(sent_to(&rig.end(1, READER, Outcome::Read)), Some(WRITER));
+    let mut rig = Rig::new(settings(), &[member(PREFILL, 0), member(DECODE, 1)]);
+    assert_eq!(sent_to(&rig.request(1)), Some(PREFILL));
+    assert_eq!(sent_to(&rig.end(1, PREFILL, Outcome::Read)), Some(DECODE));
 }
 
 #[test]
 fn an_unfitted_curve_does_not_admit_without_limit() {
-    let mut rig = Rig::new(settings(), &[member(READER, 0), member(2, 0), member(WRITER, 1)]);
+    let mut rig = Rig::new(settings(), &[member(PREFILL, 0), member(2, 0), member(DECODE, 1)]);
     let sent = (0..200).filter(|&id| sent_to(&rig.request(id)).is_some()).count();
     assert!((5..60).contains(&sent), "{sent} admitted");
 }
 
 #[test]
 fn a_curve_that_shows_slow_streams_makes_requests_wait_unread() {
-    let mut rig = Rig::new(settings(), &[member(READER, 0), member(WRITER, 1)]);
+    let mut rig = Rig::new(settings(), &[member(PREFILL, 0), member(DECODE, 1)]);
     // Twice the wanted pace even alone: 100 tokens were guessed.
     for id in 0..20 {
         rig.serve(id, 12 * S);
@@ -31,27 +31,27 @@
 
 #[test]
 fn a_quick_writer_goes_on_admitting() {
-    let mut rig = Rig::new(settings(), &[member(READER, 0), member(WRITER, 1)]);
+    let mut rig = Rig::new(settings(), &[member(PREFILL, 0), member(DECODE, 1)]);
     for id in 0..30 {
-        assert_eq!(rig.serve(id, 2 * S), Some(WRITER));
+        assert_eq!(rig.serve(id, 2 * S), Some(DECODE));
     }
 }
 
 #[test]
 fn the_writer_is_in_the_reader_s_cell_while_one_passes() {
-    let members = [in_cell(READER, 0, 1), in_cell(WRITER, 1, 1), in_cell(11, 1, 2)];
+    let members = [in_cell(PREFILL, 0, 1), in_cell(DECODE, 1, 1), in_cell(11, 1, 2)];
     let mut rig = Rig::new(settings(), &members);
-    assert_eq!(sent_to(&rig.request(1)), Some(READER));
-    assert_eq!(sent_to(&rig.end(1, READER, Outcome::Read)), Some(WRITER));
+    assert_eq!(sent_to(&rig.request(1)), Some(PREFILL));
+    assert_eq!(sent_to(&rig.end(1, PREFILL, Outcome::Read)), Some(DECODE));
     let gone = Member { phase: Phase::Gone, ..members[1].clone() };
     rig.step(0, &[Event::Hosts { whole: false, members: vec![gone] }]);
     rig.request(2);
-    assert_eq!(sent_to(&rig.end(2, READER, Outcome::Read)), Some(11));
+    assert_eq!(sent_to(&rig.end(2, PREFILL, Outcome::Read)), Some(11));
 }
 
 #[test]
 fn one_beginning_is_read_at_one_reader_by_every_router() {
-    let members: Vec<_> = (1..6).map(|h| member(h, 0)).chain([member(WRITER, 1)]).collect();
+    let members: Vec<_> = (1..6).map(|h| member(h, 0)).chain([member(DECODE, 1)]).collect();
     let home = |zone| {
         let mut rig = Rig::new(Settings { zone: ZoneId(zone), ..settings() }, &members);
         let first = sent_to(&rig.request(1)).unwrap();
@@ -66,9 +66,9 @@
 fn a_crowded_home_gives_way_to_the_next_reader() {
     let mut set = settings();
     set.kinds[1].memory = Some(1e9);
-    let mut rig = Rig::new(set, &[member(1, 0), member(2, 0), member(3, 0), member(WRITER, 1)]);
-    let readers: std::collections::BTreeSet<_> = (0..12).filter_map(|id| sent_to(&rig.request(id))).collect();
-    assert!(readers.len() > 1);
+    let mut rig = Rig::new(set, &[member(1, 0), member(2, 0), member(3, 0), member(DECODE, 1)]);
+    let prefill: std::collections::BTreeSet<_> = (0..12).filter_map(|id| sent_to(&rig.request(id))).collect();
+    assert!(prefill.len() > 1);
 }
 
 #[test]
@@ -81,7 +81,7 @@
         rig.step(0, &[of(id, 0)]);
     }
     rig.step(0, &[of(50, 1)]);
-    let members = vec![member(READER, 0), member(WRITER, 1)];
+    let members = vec![member(PREFILL, 0), member(DECODE, 1)];
     let out = rig.step(0, &[Event::Hosts { whole: true, members }]);
     let sent: Vec<_> = out
         .iter()
@@ -96,16 +96,16 @@
 
 #[test]
 fn a_host_that_errs_at_once_is_rested_and_tried_singly() {
-    let mut rig = Rig::new(settings(), &[member(READER, 0), member(WRITER, 1), member(11, 1)]);
+    let mut rig = Rig::new(settings(), &[member(PREFILL, 0), member(DECODE, 1), member(11, 1)]);
     let mut bad = 0;
     for id in 0..40 {
         rig.request(id);
-        let Some(writer) = sent_to(&rig.end(id, READER, Outcome::Read)) else { continue };
-        if writer == WRITER {
+        let Some(decode) = sent_to(&rig.end(id, PREFILL, Outcome::Read)) else { continue };
+        if decode == DECODE {
             bad += 1;
-            rig.end(id, writer, Outcome::Error);
+            rig.end(id, decode, Outcome::Error);
         } else {
-            rig.step(0, &[began(id, writer), ended(id, writer, Outcome::Served, true)]);
+            rig.step(0, &[began(id, decode), ended(id, decode, Outcome::Served, true)]);
         }
     }
     assert!(bad <= 6, "{bad} of 40 went to the failing host");
@@ -113,31 +113,31 @@
 
 #[test]
 fn repeated_failures_are_logged_once() {
-    let mut rig = Rig::new(settings(), &[member(READER, 0), member(WRITER, 1)]);
+    let mut rig = Rig::new(settings(), &[member(PREFILL, 0), member(DECODE, 1)]);
     let mut lines = Vec::new();
     for id in 0..8 {
         rig.request(id);
         rig.step(3 * S, &[]);
-        let out = rig.end(id, READER, Outcome::Unreachable);
+        let out = rig.end(id, PREFILL, Outcome::Unreachable);
         lines.extend(out.into_iter().filter(|a| matches!(a, Action::Log(_))));
     }
-    let line = format!("host {READER} fails again and again: single trials only");
+    let line = format!("host {PREFILL} fails again and again: single trials only");
     assert_eq!(lines, [Action::Log(line)]);
 }
 
 #[test]
 fn a_state_that_is_gone_is_read_anew() {
-    let mut rig = Rig::new(settings(), &[member(READER, 0), member(WRITER, 1)]);
+    let mut rig = Rig::new(settings(), &[member(PREFILL, 0), member(DECODE, 1)]);
     rig.request(1);
-    rig.end(1, READER, Outcome::Read);
-    assert_eq!(sent_to(&rig.end(1, WRITER, Outcome::NoState)), Some(READER));
+    rig.end(1, PREFILL, Outcome::Read);
+    assert_eq!(sent_to(&rig.end(1, DECODE, Outcome::NoState)), Some(PREFILL));
 }
 
 #[test]
 fn a_mixed_host_reads_by_itself_only_when_no_reader_can() {
-    let mut rig = Rig::new(settings(), &[member(READER, 0), member(20, 2)]);
-    assert_eq!(sent_to(&rig.request(1)), Some(READER));
-    let gone = Member { phase: Phase::Gone, ..member(READER, 0) };
+    let mut rig = Rig::new(settings(), &[member(PREFILL, 0), member(20, 2)]);
+    assert_eq!(sent_to(&rig.request(1)), Some(PREFILL));
+    let gone = Member { phase: Phase::Gone, ..member(PREFILL, 0) };
     rig.step(0, &[Event::Hosts { whole: false, members: vec![gone] }]);
     assert_eq!(sent_to(&rig.request(2)), Some(20));
 }
@@ -170,7 +170,7 @@
 fn of_the_low_tier_one_is_on_its_way_at_a_time() {
     let mut set = settings();
     set.kinds[1].memory = Some(1e9);
-    let mut rig = Rig::new(set, &[member(READER, 0), member(2, 0), member(3, 0), member(WRITER, 1)]);
+    let mut rig = Rig::new(set, &[member(PREFILL, 0), member(2, 0), member(3, 0), member(DECODE, 1)]);
     let sent = (0..20).filter(|&id| sent_to(&rig.step(5 * MS, &[late(id)])).is_some()).count();
     assert_eq!(sent, 1, "40,000 tokens can't be read within the aim by any");
 }
@@ -179,30 +179,30 @@
 fn a_mixed_host_reads_by_itself_when_every_reader_is_jammed() {
     let mut set = settings();
     set.kinds[1].memory = Some(1e9);
-    let mut rig = Rig::new(set, &[member(READER, 0), member(20, 2)]);
+    let mut rig = Rig::new(set, &[member(PREFILL, 0), member(20, 2)]);
     let sent: Vec<_> = (0..12).filter_map(|id| sent_to(&rig.request(id))).collect();
-    assert_eq!(sent[0], READER);
+    assert_eq!(sent[0], PREFILL);
     assert!(sent.contains(&20), "{sent:?}");
 }
 
 #[test]
 fn a_beginning_is_read_at_one_reader_and_under_load_at_few() {
-    let members: Vec<_> = (1..10).map(|h| member(h, 0)).chain([member(WRITER, 1)]).collect();
+    let members: Vec<_> = (1..10).map(|h| member(h, 0)).chain([member(DECODE, 1)]).collect();
     let read_at = |router, session| {
         let mut rig = Rig { router: croftsill::Router::new(settings(), router), now: 100 * S };
         rig.step(0, &[Event::Hosts { whole: true, members: members.clone() }]);
         let asked = NewRequest { session: Some(TextKey(session)), ..ask(1) };
         sent_to(&rig.step(0, &[Event::Request(asked)])).unwrap()
     };
-    let homes: std::collections::BTreeSet<_> = (0..40).map(|session| read_at(session, session)).collect();
-    assert_eq!(homes.len(), 1, "all routers agree while it is free: {homes:?}");
-    // Reads that do not end: the beginning outgrows one reader, and is still not read everywhere.
+    let preferred: std::collections::BTreeSet<_> = (0..40).map(|session| read_at(session, session)).collect();
+    assert_eq!(preferred.len(), 1, "all routers agree while it is free: {preferred:?}");
+    // Reads that do not end: the beginning outgrows one prefill server, and is still not read everywhere.
     let mut rig = Rig::new(settings(), &members);
     let crowded: std::collections::BTreeSet<_> = (0..40).filter_map(|id| sent_to(&rig.request(id))).collect();
-    assert!((2..=3).contains(&crowded.len()) && crowded.is_superset(&homes), "{crowded:?}");
+    assert!((2..=3).contains(&crowded.len()) && crowded.is_superset(&preferred), "{crowded:?}");
 }
 
-/// A router of a hundred with eight readers that may be asked.
+/// A router of a hundred with eight prefill servers that may be asked.
 fn one_of_a_hundred() -> Rig {
     let mut set = settings();
     (set.routers, set.limits.probes) = (100, true);
@@ -240,7 +240,7 @@
     let mut rig = one_of_a_hundred();
     rig.step(5 * S, &[]);
     let asked = asked_readers(&rig.request(1));
-    // The first home, where the beginning is thought to be kept, may hang; the second has a little to do.
+    // The first preferred server, where the beginning is thought to be kept, may hang; the second has a little to do.
     let told = |host: u32, waiting: f64| Event::Probed {
         host: HostId(host),
         outcome: Outcome::Served,
@@ -262,7 +262,7 @@
 fn a_router_that_hears_of_its_readers_all_the_time_does_not_ask() {
     let mut rig = one_of_a_hundred();
     rig.step(5 * S, &[]);
-    // Twenty requests a second to each reader.
+    // Twenty requests a second to each prefill server.
     let asked = (0..400).map(|id| asked_readers(&rig.step(6 * MS, &[Event::Request(ask(id))])).len());
     let asked: Vec<_> = asked.collect();
     assert_eq!(asked[200..].iter().sum::<usize>(), 0, "{asked:?}");
@@ -274,9 +274,9 @@
     let mut rig = Rig::new(settings(), &members);
     for id in 0..8 {
         let short = NewRequest { prompt_tokens: 200.0, prefix: None, ..ask(id) };
-        let reader = sent_to(&rig.step(0, &[Event::Request(short)])).expect("sent");
+        let prefill = sent_to(&rig.step(0, &[Event::Request(short)])).expect("sent");
         // Others' reads came before it.
-        rig.step(500 * MS, &[took(id, reader, 500 * MS)]);
+        rig.step(500 * MS, &[took(id, prefill, 500 * MS)]);
         rig.step(0, &[began(id, 50), ended(id, 50, Outcome::Served, true)]);
     }
     // Half a second of waiting and 1.6 s of reading fit into the four that the client waits.
@@ -286,7 +286,7 @@
 
 #[test]
 fn a_read_has_time_for_a_beginning_that_is_not_kept_after_all() {
-    let mut rig = Rig::new(settings(), &[member(READER, 0), member(WRITER, 1)]);
+    let mut rig = Rig::new(settings(), &[member(PREFILL, 0), member(DECODE, 1)]);
     let long = NewRequest { prompt_tokens: 8_000.0, prefix_tokens: 7_500.0, time_left: 20 * S, ..ask(1) };
     let out = rig.step(0, &[Event::Request(long)]);
     let time_out =
@@ -296,13 +296,13 @@
 
 #[test]
 fn routers_that_know_the_same_do_not_all_choose_the_same_writer() {
-    let members: Vec<_> = (10..14).map(|h| member(h, 1)).chain([member(READER, 0)]).collect();
+    let members: Vec<_> = (10..14).map(|h| member(h, 1)).chain([member(PREFILL, 0)]).collect();
     let mut taken = std::collections::BTreeMap::new();
     for router in 0..100 {
         let mut rig = Rig { router: croftsill::Router::new(settings(), router), now: 100 * S };
         rig.step(0, &[Event::Hosts { whole: true, members: members.clone() }]);
         rig.request(1);
-        *taken.entry(sent_to(&rig.end(1, READER, Outcome::Read)).unwrap()).or_insert(0) += 1;
+        *taken.entry(sent_to(&rig.end(1, PREFILL, Outcome::Read)).unwrap()).or_insert(0) += 1;
     }
     assert!(taken.len() == 4 && taken.values().all(|&n| n < 50), "{taken:?}");
 }
@@ -311,47 +311,47 @@
 fn a_router_among_a_hundred_admits_from_its_first_second_on() {
     let mut set = settings();
     set.routers = 100;
-    let mut rig = Rig::new(set, &[member(READER, 0), member(WRITER, 1)]);
-    assert_eq!(sent_to(&rig.request(1)), Some(READER));
+    let mut rig = Rig::new(set, &[member(PREFILL, 0), member(DECODE, 1)]);
+    assert_eq!(sent_to(&rig.request(1)), Some(PREFILL));
 }
 
 #[test]
 fn a_cell_short_of_writers_sends_part_of_its_states_to_one_with_writers_to_spare() {
-    let short = [in_cell(1, 0, 1), in_cell(2, 0, 1), in_cell(3, 0, 1), in_cell(WRITER, 1, 1)];
+    let short = [in_cell(1, 0, 1), in_cell(2, 0, 1), in_cell(3, 0, 1), in_cell(DECODE, 1, 1)];
     let spare = (11..16).map(|h| Member { zone: ZoneId(1), ..in_cell(h, 1, 2) });
     let members: Vec<_> = short.into_iter().chain(spare).collect();
     let mut near = 0;
     for router in 0..100 {
         let mut rig = Rig { router: croftsill::Router::new(settings(), router), now: 100 * S };
         rig.step(0, &[Event::Hosts { whole: true, members: members.clone() }]);
-        let reader = sent_to(&rig.request(router)).unwrap();
-        near += usize::from(sent_to(&rig.end(router, reader, Outcome::Read)) == Some(WRITER));
+        let prefill = sent_to(&rig.request(router)).unwrap();
+        near += usize::from(sent_to(&rig.end(router, prefill, Outcome::Read)) == Some(DECODE));
     }
-    assert!((5..50).contains(&near), "{near} of 100 states stayed at the one writer near");
+    assert!((5..50).contains(&near), "{near} of 100 states stayed at the one decode near");
 }
 
 #[test]
 fn full_for_one_class_leaves_the_host_to_the_others() {
     let mut set = settings();
     set.classes.push(set.classes[0].clone());
-    let mut rig = Rig::new(set, &[member(READER, 0), member(WRITER, 1)]);
+    let mut rig = Rig::new(set, &[member(PREFILL, 0), member(DECODE, 1)]);
     rig.request(1);
-    let mut full = ended(1, READER, Outcome::Full, false);
+    let mut full = ended(1, PREFILL, Outcome::Full, false);
     if let Event::Ended { took, .. } = &mut full {
         *took = 300 * MS;
     }
     assert_eq!(sent_to(&rig.step(300 * MS, &[full])), None);
     let other = NewRequest { class: ClassId(1), ..ask(2) };
-    assert_eq!(sent_to(&rig.step(0, &[Event::Request(other)])), Some(READER));
+    assert_eq!(sent_to(&rig.step(0, &[Event::Request(other)])), Some(PREFILL));
     assert_eq!(sent_to(&rig.step(2 * S, &[Event::Request(ask(3))])), None, "slow to say so, long left alone");
 }
 
 #[test]
 fn reads_that_time_out_make_the_next_wait_unread() {
-    let mut rig = Rig::new(settings(), &[member(READER, 0), member(WRITER, 1)]);
+    let mut rig = Rig::new(settings(), &[member(PREFILL, 0), member(DECODE, 1)]);
     for id in 0..6 {
         if sent_to(&rig.request(id)).is_some() {
-            let mut end = ended(id, READER, Outcome::TimedOut, true);
+            let mut end = ended(id, PREFILL, Outcome::TimedOut, true);
             if let Event::Ended { took, .. } = &mut end {
                 *took = 2 * S;
             }
@@ -367,14 +367,14 @@
 #[test]
 fn writers_are_probed_while_there_are_requests_and_own_streams_tell_too_seldom() {
     let limits = Limits { probes: true, ..settings().limits };
-    let members = [member(READER, 0), member(WRITER, 1)];
+    let members = [member(PREFILL, 0), member(DECODE, 1)];
     let mut rig = Rig::new(Settings { limits, ..settings() }, &members);
-    let of = |out: &[Action]| out.iter().filter(|a| **a == Action::Probe(HostId(WRITER))).count();
+    let of = |out: &[Action]| out.iter().filter(|a| **a == Action::Probe(HostId(DECODE))).count();
     let probes = |rig: &mut Rig| (0..1_000).map(|_| of(&rig.tick(10 * MS))).sum::<usize>();
     assert_eq!(probes(&mut rig), 0, "nothing to decide");
     rig.request(1);
-    rig.end(1, READER, Outcome::Read);
-    rig.step(0, &[began(1, WRITER)]);
+    rig.end(1, PREFILL, Outcome::Read);
+    rig.step(0, &[began(1, DECODE)]);
     let alone = probes(&mut rig);
     assert!((8..=16).contains(&alone), "{alone} in 10 s by one of two that take turns every 0.35 s");
     // Twenty requests a second: each answer brings a report.
@@ -385,25 +385,25 @@
 #[test]
 fn absurd_reports_mislead_no_decision() {
     for memory in [f64::NAN, f64::INFINITY, -5.0, 1e300] {
-        let members = [member(READER, 0), member(WRITER, 1)];
+        let members = [member(PREFILL, 0), member(DECODE, 1)];
         let mut rig = Rig::new(Settings { routers: 0, ..settings() }, &members);
         let load = Some(Load { memory: Some(memory), ..Load::default() });
-        rig.step(MS, &[Event::Probed { host: HostId(WRITER), outcome: Outcome::Served, load }]);
-        assert_eq!(rig.serve(1, 2 * S), Some(WRITER), "{memory}");
+        rig.step(MS, &[Event::Probed { host: HostId(DECODE), outcome: Outcome::Served, load }]);
+        assert_eq!(rig.serve(1, 2 * S), Some(DECODE), "{memory}");
     }
 }
 
 #[test]
 fn readers_that_are_all_slow_do_not_drive_a_beginning_from_its_home() {
-    let mut rig = Rig::new(settings(), &[member(1, 0), member(2, 0), member(3, 0), member(WRITER, 1)]);
+    let mut rig = Rig::new(settings(), &[member(1, 0), member(2, 0), member(3, 0), member(DECODE, 1)]);
     let mut slow_read = |id, prefix| {
         let asked = NewRequest { prefix: Some(TextKey(prefix)), ..ask(id) };
         let host = sent_to(&rig.step(0, &[Event::Request(asked)])).unwrap();
         rig.step(600 * MS, &[took(id, host, 600 * MS)]);
-        rig.step(20 * MS, &[began(id, WRITER), ended(id, WRITER, Outcome::Served, true)]);
+        rig.step(20 * MS, &[began(id, DECODE), ended(id, DECODE, Outcome::Served, true)]);
         host
     };
-    // Over half the aim for each read, at every reader; a long prompt would do better at no other.
+    // Over half the aim for each read, at every prefill server; a long prompt would do better at no other.
     let home = slow_read(1, 7);
     for id in 2..12 {
         slow_read(id, 100 + id);
@@ -426,20 +426,20 @@
 
 #[test]
 fn a_report_of_others_memory_keeps_a_full_writer_from_admitting() {
-    let mut rig = Rig::new(settings(), &[member(READER, 0), member(WRITER, 1)]);
+    let mut rig = Rig::new(settings(), &[member(PREFILL, 0), member(DECODE, 1)]);
     for id in 0..20 {
-        assert_eq!(rig.serve(id, 2 * S), Some(WRITER));
+        assert_eq!(rig.serve(id, 2 * S), Some(DECODE));
     }
     let load = Some(Load { memory: Some(0.95), ..Load::default() });
     for _ in 0..12 {
-        rig.step(0, &[Event::Probed { host: HostId(WRITER), outcome: Outcome::Served, load: load.clone() }]);
+        rig.step(0, &[Event::Probed { host: HostId(DECODE), outcome: Outcome::Served, load: load.clone() }]);
     }
     assert_eq!(sent_to(&rig.request(99)), None);
 }
 
 #[test]
 fn what_was_never_sent_or_asked_for_is_passed_over() {
-    let mut rig = Rig::new(settings(), &[member(READER, 0), member(WRITER, 1)]);
+    let mut rig = Rig::new(settings(), &[member(PREFILL, 0), member(DECODE, 1)]);
     let out =
         rig.step(0, &[Event::Left(RequestId(77)), began(78, 999), ended(79, 999, Outcome::Served, true)]);
     assert_eq!((sent_to(&out), finals(&out)), (None, 0));
@@ -447,7 +447,7 @@
 
 #[test]
 fn an_answer_in_one_piece_may_take_all_the_time_left() {
-    let mut rig = Rig::new(settings(), &[member(WRITER, 2)]);
+    let mut rig = Rig::new(settings(), &[member(DECODE, 2)]);
     let time_out = |out: &[Action]| match out {
         [.., Action::Send { time_out, .. }] => *time_out,
         other => panic!("expected one send, found {other:?}"),
@@ -456,17 +456,17 @@
     assert!(time_out(&rig.request(1)) < 4 * S, "silence of a stream is a sign");
     assert_eq!(time_out(&rig.step(0, &[whole(2)])), 4 * S);
     // Nor does its silence make the host look slow to the next.
-    assert_eq!(time_out(&rig.step(S, &[ended(1, WRITER, Outcome::Cancelled, true), whole(3)])), 4 * S);
+    assert_eq!(time_out(&rig.step(S, &[ended(1, DECODE, Outcome::Cancelled, true), whole(3)])), 4 * S);
 }
 
-/// Probes that one writer gets in ten seconds from so many routers, each of which holds a request all the time.
+/// Probes that one decode server gets in ten seconds from so many routers, each of which holds a request all the time.
 fn probes_by(routers: u32) -> usize {
     let mut set = settings();
     (set.routers, set.limits.probes) = (routers, true);
     let probes = |out: &[Action]| out.iter().filter(|a| matches!(a, Action::Probe(_))).count();
     let by_one = |seed: u32| {
         let mut rig = Rig { router: Router::new(set.clone(), u64::from(seed)), now: 100 * S };
-        rig.step(0, &[Event::Hosts { whole: true, members: vec![member(WRITER, 1)] }]);
+        rig.step(0, &[Event::Hosts { whole: true, members: vec![member(DECODE, 1)] }]);
         let patient = NewRequest { time_left: 60 * S, ..ask(1) };
         let first = probes(&rig.step(0, &[Event::Request(patient)]));
         first + (0..200).map(|_| probes(&rig.tick(50 * MS))).sum::<usize>()
@@ -484,11 +484,11 @@
 
 #[test]
 fn a_state_whose_aim_is_past_goes_on_at_once() {
-    let mut rig = Rig::new(settings(), &[member(READER, 0), member(WRITER, 1)]);
-    assert_eq!(sent_to(&rig.request(1)), Some(READER));
+    let mut rig = Rig::new(settings(), &[member(PREFILL, 0), member(DECODE, 1)]);
+    assert_eq!(sent_to(&rig.request(1)), Some(PREFILL));
     // The read took longer than the aim of 1.06 s, and the client waits until 4 s.
-    let out = rig.step(1_500 * MS, &[ended(1, READER, Outcome::Read, false)]);
-    assert_eq!(sent_to(&out), Some(WRITER), "waiting gains it nothing: {out:?}");
+    let out = rig.step(1_500 * MS, &[ended(1, PREFILL, Outcome::Read, false)]);
+    assert_eq!(sent_to(&out), Some(DECODE), "waiting gains it nothing: {out:?}");
 }
 
 #[test]
@@ -500,8 +500,8 @@
     // Past its aim from the start, but not past the client's patience.
     let hopeless = |id| NewRequest { prompt_tokens: 40_000.0, time_left: 60 * S, ..ask(id) };
     for id in 1..6 {
-        let reader = sent_to(&rig.step(10 * S, &[Event::Request(hopeless(id))])).expect("sent untested");
-        let read = match ended(id, reader, Outcome::Read, false) {
+        let prefill = sent_to(&rig.step(10 * S, &[Event::Request(hopeless(id))])).expect("sent untested");
+        let read = match ended(id, prefill, Outcome::Read, false) {
             Event::Ended { request, attempt, host, outcome, last, kept, load, .. } => {
                 Event::Ended { request, attempt, host, outcome, last, kept, took: 4 * S, load }
             }
@@ -516,17 +516,17 @@
     let since = rig.now;
     while sent_to(&out).is_none() {
         out = rig.tick(5 * MS);
-        assert!(rig.now < since + 3 * S, "100 routers and 20 readers: each router may use one every 2 s");
+        assert!(rig.now < since + 3 * S, "100 routers and 20 prefill: each router may use one every 2 s");
     }
 }
 
 #[test]
 fn after_a_writer_stays_silent_the_next_try_is_made_in_another_cell() {
-    let near = [in_cell(READER, 0, 1), in_cell(10, 1, 1), in_cell(11, 1, 1), in_cell(13, 1, 1)];
+    let near = [in_cell(PREFILL, 0, 1), in_cell(10, 1, 1), in_cell(11, 1, 1), in_cell(13, 1, 1)];
     for id in 1..9 {
         let mut rig = Rig::new(settings(), &[&near[..], &[in_cell(12, 1, 2)]].concat());
         rig.request(id);
-        let first = sent_to(&rig.end(id, READER, Outcome::Read)).expect("sent on");
+        let first = sent_to(&rig.end(id, PREFILL, Outcome::Read)).expect("sent on");
         let next = sent_to(&rig.end(id, first, Outcome::TimedOut)).expect("tried again");
         assert!(first == 12 || next == 12, "after {first} its neighbour {next}");
     }
@@ -534,14 +534,14 @@
 
 #[test]
 fn a_state_that_two_writers_could_not_fetch_is_read_anew_at_another_reader() {
-    let readers = [in_cell(1, 0, 1), in_cell(2, 0, 2)];
-    let writers = [in_cell(10, 1, 1), in_cell(11, 1, 2), in_cell(12, 1, 1), in_cell(13, 1, 2)];
+    let prefill = [in_cell(1, 0, 1), in_cell(2, 0, 2)];
+    let decode = [in_cell(10, 1, 1), in_cell(11, 1, 2), in_cell(12, 1, 1), in_cell(13, 1, 2)];
     let mut set = settings();
     set.limits.max_attempts = 6;
-    let mut rig = Rig::new(set, &[&readers[..], &writers[..]].concat());
+    let mut rig = Rig::new(set, &[&prefill[..], &decode[..]].concat());
     let first = sent_to(&rig.request(1)).expect("read");
-    let writer = sent_to(&rig.end(1, first, Outcome::Read)).expect("sent on");
-    let second = sent_to(&rig.end(1, writer, Outcome::TimedOut)).expect("tried elsewhere");
+    let decode = sent_to(&rig.end(1, first, Outcome::Read)).expect("sent on");
+    let second = sent_to(&rig.end(1, decode, Outcome::TimedOut)).expect("tried elsewhere");
     let out = rig.end(1, second, Outcome::TimedOut);
     assert!(out.contains(&Action::Release(RequestId(1))), "{out:?}");
     let again = sent_to(&out).expect("read anew");
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -10,12 +10,12 @@
     set
 }
 
-/// A request whose first writer attempt timed out, and what the router did then.
+/// A request whose first decode server attempt timed out, and what the router did then.
 fn after_time_out(effect: Effect, members: &[Member]) -> (Rig, Vec<Action>) {
     let mut rig = Rig::new(with_effect(effect), members);
-    assert_eq!(sent_to(&rig.request(1)), Some(READER));
-    let writer = sent_to(&rig.end(1, READER, Outcome::Read)).expect("sent on");
-    let out = rig.end(1, writer, Outcome::TimedOut);
+    assert_eq!(sent_to(&rig.request(1)), Some(PREFILL));
+    let decode = sent_to(&rig.end(1, PREFILL, Outcome::Read)).expect("sent on");
+    let out = rig.end(1, decode, Outcome::TimedOut);
     (rig, out)
 }
 
@@ -35,7 +35,7 @@
 
 #[test]
 fn rule_1_giving_up_is_answered_at_once_with_a_come_back_time() {
-    let mut rig = Rig::new(settings(), &[member(READER, 0), member(WRITER, 1)]);
+    let mut rig = Rig::new(settings(), &[member(PREFILL, 0), member(DECODE, 1)]);
     let mut late = ask(1);
     late.time_left = 11 * MS;
     let out = rig.step(0, &[Event::Request(late)]);
@@ -45,43 +45,43 @@
 
 #[test]
 fn rule_1_nothing_is_sent_for_a_request_whose_client_left() {
-    let mut rig = Rig::new(settings(), &[member(READER, 0), member(WRITER, 1)]);
+    let mut rig = Rig::new(settings(), &[member(PREFILL, 0), member(DECODE, 1)]);
     rig.request(1);
     rig.step(0, &[Event::Left(RequestId(1))]);
-    let out = rig.end(1, READER, Outcome::Read);
+    let out = rig.end(1, PREFILL, Outcome::Read);
     assert_eq!((sent_to(&out), finals(&out)), (None, 0));
     assert!(out.contains(&Action::Release(RequestId(1))), "and its state is let go: {out:?}");
 }
 
 #[test]
 fn rule_2_an_unsafe_request_that_may_have_run_fails_without_another_try() {
-    let (_, out) = after_time_out(Effect::Unsafe, &[member(READER, 0), member(WRITER, 1), member(11, 1)]);
+    let (_, out) = after_time_out(Effect::Unsafe, &[member(PREFILL, 0), member(DECODE, 1), member(11, 1)]);
     assert_eq!(sent_to(&out), None);
     assert!(out.contains(&Action::Fail(RequestId(1))), "{out:?}");
 }
 
 #[test]
 fn rule_2_an_unsafe_request_proved_not_to_have_run_is_tried_again() {
-    let members = [member(READER, 0), member(WRITER, 1), member(11, 1)];
+    let members = [member(PREFILL, 0), member(DECODE, 1), member(11, 1)];
     let mut rig = Rig::new(with_effect(Effect::Unsafe), &members);
     rig.request(1);
-    let writer = sent_to(&rig.end(1, READER, Outcome::Read)).unwrap();
-    let next = sent_to(&rig.end(1, writer, Outcome::Unreachable)).unwrap();
-    assert_ne!(next, writer);
+    let decode = sent_to(&rig.end(1, PREFILL, Outcome::Read)).unwrap();
+    let next = sent_to(&rig.end(1, decode, Outcome::Unreachable)).unwrap();
+    assert_ne!(next, decode);
 }
 
 #[test]
 fn a_spoilt_answer_is_read_again_at_once_and_its_host_stays_in_use() {
-    let mut rig = Rig::new(settings(), &[member(READER, 0), member(WRITER, 1)]);
+    let mut rig = Rig::new(settings(), &[member(PREFILL, 0), member(DECODE, 1)]);
     rig.request(1);
-    assert_eq!(sent_to(&rig.end(1, READER, Outcome::Read)), Some(WRITER));
-    assert_eq!(sent_to(&rig.end(1, WRITER, Outcome::Spoilt)), Some(READER));
-    assert_eq!(sent_to(&rig.end(1, READER, Outcome::Read)), Some(WRITER));
+    assert_eq!(sent_to(&rig.end(1, PREFILL, Outcome::Read)), Some(DECODE));
+    assert_eq!(sent_to(&rig.end(1, DECODE, Outcome::Malformed)), Some(PREFILL));
+    assert_eq!(sent_to(&rig.end(1, PREFILL, Outcome::Read)), Some(DECODE));
 }
 
 #[test]
 fn rule_2_a_failed_read_has_no_effect() {
-    let members = [member(READER, 0), member(2, 0), member(WRITER, 1)];
+    let members = [member(PREFILL, 0), member(2, 0), member(DECODE, 1)];
     let mut rig = Rig::new(with_effect(Effect::Unsafe), &members);
     let first = sent_to(&rig.request(1)).unwrap();
     let next = sent_to(&rig.end(1, first, Outcome::Broken)).unwrap();
@@ -90,14 +90,14 @@
 
 #[test]
 fn rule_2_a_keyed_request_stays_in_its_group_and_window() {
-    let other_cell = [in_cell(READER, 0, 1), in_cell(WRITER, 1, 1), in_cell(11, 1, 2)];
+    let other_cell = [in_cell(PREFILL, 0, 1), in_cell(DECODE, 1, 1), in_cell(11, 1, 2)];
     let keyed = Effect::Keyed(Group::Cell, S);
     let (mut rig, mut out) = after_time_out(keyed, &other_cell);
     for _ in 0..200 {
         assert!(sent_to(&out).is_none_or(|host| host != 11), "left its group");
         assert!(!out.iter().any(|a| matches!(a, Action::Refuse { .. })), "a refusal promises too much");
         let sent_late = rig.now >= 101 * S + 40 * MS;
-        assert!(!sent_late || sent_to(&out).is_none_or(|host| host == READER), "outside its window");
+        assert!(!sent_late || sent_to(&out).is_none_or(|host| host == PREFILL), "outside its window");
         out = rig.tick(10 * MS);
     }
 }
@@ -105,17 +105,17 @@
 #[test]
 fn rule_2_a_keyed_request_that_may_have_run_is_read_again_in_its_group_alone() {
     let zone = |host, kind, zone| Member { zone: ZoneId(zone), ..in_cell(host, kind, zone as i64) };
-    let members = [zone(READER, 0, 0), zone(2, 0, 1), zone(3, 0, 1), zone(WRITER, 1, 0), zone(11, 1, 0)];
-    let in_zone = [READER, WRITER, 11];
+    let members = [zone(PREFILL, 0, 0), zone(2, 0, 1), zone(3, 0, 1), zone(DECODE, 1, 0), zone(11, 1, 0)];
+    let in_zone = [PREFILL, DECODE, 11];
     let mut seen_again = 0;
     for id in 1..40 {
         let mut rig = Rig::new(with_effect(Effect::Keyed(Group::Zone, 3 * S)), &members);
-        // Each has homes of its own.
+        // Each has preferred servers of its own.
         let alone = NewRequest { prefix: None, prefix_tokens: 0.0, ..ask(id) };
-        let reader = sent_to(&rig.step(0, &[Event::Request(alone)])).expect("a first read");
-        let writer = sent_to(&rig.end(id, reader, Outcome::Read)).expect("a first write");
+        let prefill = sent_to(&rig.step(0, &[Event::Request(alone)])).expect("a first read");
+        let decode = sent_to(&rig.end(id, prefill, Outcome::Read)).expect("a first write");
         // It may have run there, and its state is gone: the prompt has to be read again.
-        let mut out = rig.end(id, writer, Outcome::Spoilt);
+        let mut out = rig.end(id, decode, Outcome::Malformed);
         for _ in 0..20 {
             if let Some(again) = sent_to(&out) {
                 assert!(in_zone.contains(&again), "request {id} was sent out of its zone, to {again}");
@@ -130,7 +130,7 @@
 
 #[test]
 fn a_held_request_that_may_not_be_sent_again_is_answered_at_once() {
-    let cells = [in_cell(READER, 0, 1), in_cell(WRITER, 1, 1), in_cell(11, 1, 2)];
+    let cells = [in_cell(PREFILL, 0, 1), in_cell(DECODE, 1, 1), in_cell(11, 1, 2)];
     let (mut rig, mut out) = after_time_out(Effect::Keyed(Group::Cell, S), &cells);
     // Its group has only the server that just failed, and its window ends long before its deadline.
     let mut answered_at = None;
@@ -140,7 +140,7 @@
             break;
         }
         if let Some(host) = sent_to(&out) {
-            out = rig.end(1, host, if host == READER { Outcome::Read } else { Outcome::Full });
+            out = rig.end(1, host, if host == PREFILL { Outcome::Read } else { Outcome::Full });
         } else {
             out = rig.tick(10 * MS);
         }
@@ -151,7 +151,7 @@
 
 #[test]
 fn rule_2_a_repeat_tells_until_when_it_may_begin() {
-    let members = [member(READER, 0), member(WRITER, 1), member(11, 1)];
+    let members = [member(PREFILL, 0), member(DECODE, 1), member(11, 1)];
     let mut rig = Rig::new(with_effect(Effect::Keyed(Group::All, S)), &members);
     let start_within = |out: &[Action]| {
         out.iter().find_map(|a| match a {
@@ -160,7 +160,7 @@
         })
     };
     assert_eq!(start_within(&rig.request(1)), Some(None), "a read has no effect");
-    let first = rig.end(1, READER, Outcome::Read);
+    let first = rig.end(1, PREFILL, Outcome::Read);
     let sent_at = rig.now;
     assert_eq!(start_within(&first), Some(None), "nothing may have run yet");
     let repeat = rig.end(1, sent_to(&first).unwrap(), Outcome::Error);
@@ -171,7 +171,7 @@
 
 #[test]
 fn rule_2_no_second_attempt_while_one_is_out() {
-    let members = [member(READER, 0), member(2, 0), member(WRITER, 1), member(11, 1)];
+    let members = [member(PREFILL, 0), member(2, 0), member(DECODE, 1), member(11, 1)];
     let mut rig = Rig::new(settings(), &members);
     rig.request(1);
     for _ in 0..100 {
@@ -181,41 +181,41 @@
 
 #[test]
 fn rule_3_a_draining_host_gets_nothing_new() {
-    let mut rig = Rig::new(settings(), &[member(READER, 0), member(WRITER, 1), member(11, 1)]);
+    let mut rig = Rig::new(settings(), &[member(PREFILL, 0), member(DECODE, 1), member(11, 1)]);
     rig.request(1);
     let drains = |host| Member { phase: Phase::Draining, ..member(host, 1) };
-    rig.step(0, &[Event::Hosts { whole: false, members: vec![drains(WRITER)] }]);
-    assert_eq!(sent_to(&rig.end(1, READER, Outcome::Read)), Some(11));
+    rig.step(0, &[Event::Hosts { whole: false, members: vec![drains(DECODE)] }]);
+    assert_eq!(sent_to(&rig.end(1, PREFILL, Outcome::Read)), Some(11));
     rig.step(0, &[Event::Hosts { whole: false, members: vec![drains(11)] }]);
     assert_eq!(sent_to(&rig.request(2)), None);
 }
 
 #[test]
 fn rule_3_a_host_missing_from_a_whole_list_is_gone() {
-    let mut rig = Rig::new(settings(), &[member(READER, 0), member(WRITER, 1)]);
-    rig.step(0, &[Event::Hosts { whole: true, members: vec![member(READER, 0)] }]);
+    let mut rig = Rig::new(settings(), &[member(PREFILL, 0), member(DECODE, 1)]);
+    rig.step(0, &[Event::Hosts { whole: true, members: vec![member(PREFILL, 0)] }]);
     assert_eq!(sent_to(&rig.request(1)), None);
 }
 
 #[test]
 fn rule_4_a_starting_host_is_sent_little_in_any_window() {
     let cold = |host, kind| Member { started: Some(100 * S), ..member(host, kind) };
-    let mut rig = Rig::new(settings(), &[cold(READER, 0), member(WRITER, 1), member(11, 1)]);
+    let mut rig = Rig::new(settings(), &[cold(PREFILL, 0), member(DECODE, 1), member(11, 1)]);
     let sends = (0..100).filter(|&id| {
         rig.step(10 * MS, &[]);
         let out = rig.request(id);
-        out.iter().any(|a| matches!(a, Action::Send { host: HostId(READER), .. }))
+        out.iter().any(|a| matches!(a, Action::Send { host: HostId(PREFILL), .. }))
     });
     assert!(sends.count() <= 20, "a hundred asked within a second");
 }
 
 #[test]
 fn rule_5_a_state_that_nobody_takes_is_released_in_time() {
-    let mut rig = Rig::new(settings(), &[member(READER, 0), member(WRITER, 1)]);
+    let mut rig = Rig::new(settings(), &[member(PREFILL, 0), member(DECODE, 1)]);
     rig.request(1);
-    let gone = Member { phase: Phase::Gone, ..member(WRITER, 1) };
+    let gone = Member { phase: Phase::Gone, ..member(DECODE, 1) };
     rig.step(0, &[Event::Hosts { whole: false, members: vec![gone] }]);
-    let mut out = rig.end(1, READER, Outcome::Read);
+    let mut out = rig.end(1, PREFILL, Outcome::Read);
     let read_at = rig.now;
     while !out.contains(&Action::Release(RequestId(1))) {
         out = rig.tick(5 * MS);
@@ -225,10 +225,10 @@
 
 #[test]
 fn rule_5_a_state_whose_writer_turned_it_away_is_sent_on_or_released_in_time() {
-    let mut rig = Rig::new(settings(), &[member(READER, 0), member(WRITER, 1)]);
+    let mut rig = Rig::new(settings(), &[member(PREFILL, 0), member(DECODE, 1)]);
     rig.request(1);
-    rig.end(1, READER, Outcome::Read);
-    let mut out = rig.end(1, WRITER, Outcome::Full);
+    rig.end(1, PREFILL, Outcome::Read);
+    let mut out = rig.end(1, DECODE, Outcome::Full);
     let since = rig.now;
     while sent_to(&out).is_none() && !out.contains(&Action::Release(RequestId(1))) {
         out = rig.tick(5 * MS);
@@ -240,14 +240,14 @@
 fn rule_5_a_state_waits_on_while_connections_to_writers_do_not_come_up() {
     let mut set = settings();
     set.limits.max_attempts = 8;
-    let members: Vec<_> = [member(READER, 0)].into_iter().chain((10..18).map(|w| member(w, 1))).collect();
+    let members: Vec<_> = [member(PREFILL, 0)].into_iter().chain((10..18).map(|w| member(w, 1))).collect();
     let mut rig = Rig::new(set, &members);
     rig.request(1);
-    let mut out = rig.end(1, READER, Outcome::Read);
+    let mut out = rig.end(1, PREFILL, Outcome::Read);
     let read_at = rig.now;
     while !out.contains(&Action::Release(RequestId(1))) {
         out = match sent_to(&out) {
-            Some(writer) => rig.step(250 * MS, &[ended(1, writer, Outcome::Unreachable, false)]),
+            Some(decode) => rig.step(250 * MS, &[ended(1, decode, Outcome::Unreachable, false)]),
             None => rig.tick(5 * MS),
         };
         assert!(rig.now < read_at + 800 * MS, "still held");
@@ -256,22 +256,22 @@
 
 #[test]
 fn rule_1_a_request_of_no_known_class_is_refused_at_once() {
-    let mut rig = Rig::new(settings(), &[member(READER, 0), member(WRITER, 1)]);
+    let mut rig = Rig::new(settings(), &[member(PREFILL, 0), member(DECODE, 1)]);
     let out = rig.step(0, &[Event::Request(NewRequest { class: ClassId(9), ..ask(1) })]);
     assert_eq!(out, [Action::Refuse { request: RequestId(1), come_back: None }]);
 }
 
 #[test]
 fn extreme_times_and_sizes_do_not_panic() {
-    let started = Member { started: Some(Micros::MAX), ..member(WRITER, 1) };
-    let mut rig = Rig::new(settings(), &[member(READER, 0), started]);
+    let started = Member { started: Some(Micros::MAX), ..member(DECODE, 1) };
+    let mut rig = Rig::new(settings(), &[member(PREFILL, 0), started]);
     for (id, time_left) in [(1, Micros::MAX), (2, -S), (3, 0)] {
         let odd =
             NewRequest { time_left, prompt_tokens: f64::MAX, stream_hint: Some(Micros::MAX), ..ask(id) };
         rig.step(0, &[Event::Request(odd)]);
     }
     for id in 1..4 {
-        rig.end(id, READER, Outcome::Read);
+        rig.end(id, PREFILL, Outcome::Read);
         rig.tick(5 * MS);
     }
 }
@@ -281,7 +281,7 @@
     let mut set = settings();
     set.limits.max_attempts = 1;
     set.kinds.truncate(2);
-    let mut rig = Rig::new(set, &[member(READER, 0), member(WRITER, 1)]);
+    let mut rig = Rig::new(set, &[member(PREFILL, 0), member(DECODE, 1)]);
     assert_eq!(rig.request(1), [Action::Refuse { request: RequestId(1), come_back: None }]);
 }
 
@@ -302,19 +302,19 @@
             let asked = NewRequest { prefix: Some(TextKey(id)), ..ask(id) };
             rig.step(after, &[]);
             let out = rig.step(0, &[Event::Request(asked)]);
-            if let Some(reader) = sent_to(&out) {
-                if reader == 1 && n >= 30 {
+            if let Some(prefill) = sent_to(&out) {
+                if prefill == 1 && n >= 30 {
                     sends.push(rig.now);
                 }
-                let took = rig.end(id, reader, Outcome::Read);
-                if let Some(writer) = sent_to(&took) {
-                    rig.step(0, &[began(id, writer), ended(id, writer, Outcome::Served, true)]);
+                let took = rig.end(id, prefill, Outcome::Read);
+                if let Some(decode) = sent_to(&took) {
+                    rig.step(0, &[began(id, decode), ended(id, decode, Outcome::Served, true)]);
                 }
             }
             rig.now = (100 + n as Micros + 1) * S;
         }
     }
-    // 100 requests a second over 8 readers: what one takes is 12.5 a second at least. The start multiple is
+    // 100 requests a second over 8 prefill servers: what one takes is 12.5 a second at least. The start multiple is
     // 3.0 x 0.3 of that for one second.
     let most =
         (130..140).map(|s| sends.iter().filter(|&&at| (s * S..(s + 1) * S).contains(&at)).count()).max();
@@ -344,7 +344,7 @@
         }
         sends
     };
-    assert!(play(&mut rig, 0..600).len() > 500, "warm readers take all");
+    assert!(play(&mut rig, 0..600).len() > 500, "warm prefill take all");
     let cold = |h| Member { started: Some(rig.now), ..member(h, 0) };
     let started: Vec<_> = (1..5).map(cold).collect();
     rig.step(0, &[Event::Hosts { whole: false, members: started }]);
