--- /dev/null
+++ b/src/logic/attempts.rs
@@ -0,0 +1,178 @@
+//! Sends and their outcomes, final answers, and the rules on repeats.
+
+use super::*;
+
+const PATIENCE: f64 = 4.0; // time-out of an attempt as a multiple of what is expected...
+const TRY_SHARE: f64 = 0.6; // most of the time left that one attempt may use while others could follow
+const STUCK: u32 = 2; // decode hosts silent with the same state before its prefill host is held to blame...
+const STUCK_REST: Micros = 4_000_000; // ...and so long nothing is read there: a jammed link drains slowly
+const MALFORMED_MOST: u32 = 2; // answers in a row that cannot be read before the next counts as a failure
+const FULL_REST: Micros = 100_000; // for which a host that said "full" is left alone, at least...
+const FULL_MULTIPLE: Micros = 20; // ...and of the time that it took to say so
+const REPEAT_MARGIN: Micros = 100_000; // of a repeat's window: a handshake and the way to the instance
+
+impl Router {
+    pub(super) fn send_write(&mut self, now: Micros, id: RequestId, decode: HostId, out: &mut Vec<Action>) {
+        let (host, r) = (&self.hosts[&decode], &self.requests[&id]);
+        let reads = if r.prefill.is_none() { self.read_time(now, host, r) } else { 0.0 };
+        let expected = self.first_time(now, host) + reads;
+        self.requests.entry(id).and_modify(|r| r.stage = Stage::Writing);
+        self.send(now, id, decode, expected, out);
+    }
+
+    pub(super) fn send(
+        &mut self, now: Micros, id: RequestId, to: HostId, expected: f64, out: &mut Vec<Action>,
+    ) {
+        let (Some(r), Some(host)) = (self.requests.get_mut(&id), self.hosts.get_mut(&to)) else { return };
+        let left = (r.deadline - now).max(1) as f64;
+        // A silent host shows only so. The share leaves room for another try, unless all is slow.
+        let share = if left * TRY_SHARE > expected * 1.5 { left * TRY_SHARE } else { left };
+        let mut time_out = (expected * PATIENCE + PATIENCE_EXTRA).min(share) as Micros;
+        (r.sent, r.begun) = (r.sent + 1, now);
+        if r.ask.whole && host.role != Role::Prefill {
+            // Its silence tells nothing of the host until all is written, so it may take all the time left.
+            time_out = left as Micros;
+        } else {
+            host.pending.insert(id, now);
+        }
+        host.unused_since = now;
+        let (_, since) = r.may_have_run.unzip();
+        let start_within = match self.set.classes[r.ask.class.0].effect {
+            Effect::Keyed(_, window) => since.map(|since| since + window - REPEAT_MARGIN - now),
+            _ => None,
+        };
+        out.push(Action::Send { request: id, host: to, time_out: time_out.max(1), start_within });
+    }
+
+    pub(super) fn began(&mut self, now: Micros, id: RequestId, at: HostId, took: Micros) {
+        self.worked(now, at);
+        let (Some(r), Some(host)) = (self.requests.get_mut(&id), self.hosts.get_mut(&at)) else { return };
+        host.pending.remove(&id);
+        (r.stage, r.begun) = (Stage::Streaming, now);
+        if r.prefill.is_some() {
+            return self.first_token(now, at, took);
+        }
+        host.kept.extend(r.ask.prefix.map(|key| (key, r.ask.prefix_tokens)));
+        let tokens = r.unread + READ_EXTRA;
+        self.learn_read(now, at, tokens, took as f64);
+    }
+
+    pub(super) fn ended(
+        &mut self, now: Micros, id: RequestId, at: HostId,
+        (outcome, last, kept, took): (Outcome, bool, f64, Micros), out: &mut Vec<Action>,
+    ) {
+        let known = self.requests.get(&id).map(|r| (r.stage, r.begun, r.unread));
+        let (stage, begun, unread) = known.unwrap_or((Stage::Streaming, now, 0.0));
+        let sent_at = self.hosts.get_mut(&at).and_then(|h| h.pending.remove(&id)).unwrap_or(begun);
+        // What timed out took longer still: a jam must not be judged by those alone that came through it.
+        match (outcome, stage) {
+            (Outcome::TimedOut, Stage::Reading) => self.read_took(now, id, at, unread, took),
+            (Outcome::TimedOut, Stage::Writing) => self.first_token(now, at, took),
+            _ => {}
+        }
+        match outcome {
+            Outcome::Served => self.served(now, id, at),
+            Outcome::Read => self.was_read(now, id, at, kept, took),
+            Outcome::Full => {
+                // Perhaps for this class or tenant alone. The longer it took to say so, the longer the rest.
+                let until = now.saturating_add(FULL_REST.max(took.saturating_mul(FULL_MULTIPLE)));
+                let key = self.requests.get(&id).map(|r| ((r.ask.class, r.ask.tenant), until));
+                self.hosts.entry(at).and_modify(|h| h.full_until.extend(key));
+            }
+            Outcome::NoState | Outcome::Cancelled | Outcome::Moot => {}
+            // A few come from any host, however well it is; only a host that sends nothing else fails.
+            Outcome::Malformed if self.hosts.get(&at).is_some_and(|h| h.malformed < MALFORMED_MOST) => {
+                self.hosts.entry(at).and_modify(|h| h.malformed += 1);
+            }
+            _ => self.failed(now, at, sent_at, out),
+        }
+        let Some(r) = self.requests.get_mut(&id) else { return out.push(Action::Release(id)) };
+        if last || r.ended {
+            out.push(Action::Release(id));
+            return self.forget(id);
+        }
+        match (r.stage, outcome) {
+            (Stage::Reading, Outcome::Read) => (r.stage, r.ready_since) = (Stage::Ready, now),
+            (Stage::Reading, _) | (_, Outcome::NoState) => self.hold(id),
+            (_, Outcome::Moot) => self.give_up(id, out),
+            _ => {
+                let ran = !matches!(outcome, Outcome::Full | Outcome::Unreachable);
+                if outcome == Outcome::TimedOut {
+                    r.silent = self.hosts.get(&at).map(|h| h.cell);
+                    r.stuck += 1;
+                    self.unplace(id);
+                }
+                let Some(r) = self.requests.get_mut(&id) else { return };
+                let stuck = r.stuck >= STUCK && r.sent + 2 <= self.set.limits.max_attempts;
+                if let Some(prefill) = r.prefill.filter(|_| stuck).and_then(|id| self.hosts.get_mut(&id)) {
+                    prefill.stuck_until = now + STUCK_REST;
+                }
+                r.may_have_run = r.may_have_run.or(ran.then_some((at, sent_at)));
+                if r.prefill.is_none() || outcome == Outcome::Malformed || stuck {
+                    // An answer had begun, so the state has moved. Or nobody can fetch it where it is.
+                    out.push(Action::Release(id));
+                    self.hold(id);
+                } else {
+                    // While a connection does not come up no attempt is out: the state waited all along.
+                    let since = if outcome == Outcome::Unreachable { r.ready_since } else { now };
+                    (r.stage, r.ready_since) = (Stage::Ready, since);
+                }
+            }
+        }
+        if !self.may_run_anywhere(now, id) || now >= self.requests.get(&id).map_or(now, |r| r.deadline) {
+            self.give_up(id, out);
+        }
+    }
+
+    pub(super) fn left(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        if matches!(r.stage, Stage::High | Stage::Low | Stage::Ready) {
+            out.push(Action::Release(id));
+            return self.forget(id);
+        }
+        r.ended = true;
+        if self.set.limits.cancel && r.stage != Stage::Streaming {
+            out.push(Action::Cancel { request: id, attempt: AttemptId(r.sent.max(1) - 1) });
+        }
+    }
+
+    fn forget(&mut self, id: RequestId) {
+        self.unplace(id);
+        if let Some(r) = self.requests.remove(&id) {
+            self.high.remove(&(r.aim_at, id));
+            self.low.remove(&(r.aim_at, id));
+        }
+    }
+
+    /// Rule 1: the one final answer, at once, with all that is held let go of.
+    pub(super) fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(r) = self.requests.get(&id) else { return };
+        if r.sent > 0 {
+            out.push(Action::Release(id));
+        }
+        let repeats =
+            matches!(self.set.classes[r.ask.class.0].effect, Effect::Safe | Effect::Keyed(Group::All, _));
+        let refusal = Action::Refuse { request: id, come_back: self.set.limits.come_back };
+        out.push(if repeats || r.may_have_run.is_none() { refusal } else { Action::Fail(id) });
+        self.forget(id);
+    }
+
+    /// Rule 2: whether an attempt there, also a read, could not repeat an effect.
+    pub(super) fn may_run_at(&self, now: Micros, r: &Request, at: HostId) -> bool {
+        let Some((ran_at, since)) = r.may_have_run else { return true };
+        let group = match self.set.classes[r.ask.class.0].effect {
+            Effect::Safe => return true,
+            Effect::Keyed(group, window) if now < since + window - REPEAT_MARGIN => group,
+            _ => return false,
+        };
+        let (Some(a), Some(b)) = (self.hosts.get(&ran_at), self.hosts.get(&at)) else { return false };
+        group == Group::All || a.cell == b.cell || (group == Group::Zone && a.zone == b.zone)
+    }
+
+    pub(super) fn may_run_anywhere(&self, now: Micros, id: RequestId) -> bool {
+        let Some(r) = self.requests.get(&id) else { return true };
+        let needed = if r.prefill.is_some() { 1 } else { 2 };
+        r.sent + needed <= self.set.limits.max_attempts
+            && (r.may_have_run.is_none() || self.serving(false).any(|h| self.may_run_at(now, r, h.id)))
+    }
+}
