--- a/src/node/front/chat.rs
+++ b/src/node/front/chat.rs
@@ -1,10 +1,6 @@
 //! The chat front: the public chat completions form, streamed or whole.
 
-use std::convert::Infallible;
-use std::future::Future;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 
 use bytes::Bytes;
 use http_body_util::{Either, Full};
@@ -19,7 +15,7 @@
 use super::client_state::Arrival;
 use super::intake::Intake;
 use super::spiffe::Peer;
-use super::{Pieces, Reply, begin};
+use super::{Front, Pieces, Reply, begin};
 use crate::api::*;
 use crate::node::Core;
 use crate::node::attempt::{IDEMPOTENCY_KEY, Payload};
@@ -151,7 +147,7 @@
     reply
 }
 
-/// The chat front, as a service over HTTP.
+/// The chat front.
 #[derive(Clone)]
 pub struct ChatFront {
     core: Core,
@@ -168,18 +164,7 @@
     next: std::cell::Cell<u64>,
 }
 
-impl ChatFront {
-    /// A front before this core.
-    pub fn new(core: Core, chat: Rc<Chat>, intake: Rc<Intake>, shutdown: Shutdown, seed: u64) -> Self {
-        let ids = Rc::new(Ids { seed, next: std::cell::Cell::new(0) });
-        ChatFront { core, chat, intake, shutdown, ids, peer: Peer::Unproven }
-    }
-
-    /// The same front for one client.
-    pub fn for_peer(&self, peer: Peer) -> Self {
-        ChatFront { peer, ..self.clone() }
-    }
-
+impl Front for ChatFront {
     async fn handle(self, request: Request<Incoming>) -> Reply {
         let mut reply = self.route(request).await.unwrap_or_else(|fault| {
             let (status, ..) = fault.form();
@@ -194,6 +179,19 @@
         }
         reply
     }
+}
+
+impl ChatFront {
+    /// A front before this core.
+    pub fn new(core: Core, chat: Rc<Chat>, intake: Rc<Intake>, shutdown: Shutdown, seed: u64) -> Self {
+        let ids = Rc::new(Ids { seed, next: std::cell::Cell::new(0) });
+        ChatFront { core, chat, intake, shutdown, ids, peer: Peer::Unproven }
+    }
+
+    /// The same front for one client.
+    pub fn for_peer(&self, peer: Peer) -> Self {
+        ChatFront { peer, ..self.clone() }
+    }
 
     async fn route(&self, request: Request<Incoming>) -> Result<Reply, Fault> {
         if let Peer::Denied(id) = &self.peer {
@@ -305,18 +303,3 @@
         })
     }
 }
-
-impl tower::Service<Request<Incoming>> for ChatFront {
-    type Response = Reply;
-    type Error = Infallible;
-    type Future = Pin<Box<dyn Future<Output = Result<Reply, Infallible>>>>;
-
-    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
-        Poll::Ready(Ok(()))
-    }
-
-    fn call(&mut self, request: Request<Incoming>) -> Self::Future {
-        let front = self.clone();
-        Box::pin(async move { Ok(front.handle(request).await) })
-    }
-}
--- a/src/node/front/connection.rs
+++ b/src/node/front/connection.rs
@@ -7,31 +7,27 @@
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
+use hyper::service::service_fn;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use hyper_util::service::TowerToHyperService;
 use tokio::io::{AsyncRead, AsyncWrite};
-use tower::{Service, ServiceExt};
 
 use super::client_state::ClientState;
 use super::client_stream::ClientStream;
 use super::intake::Place;
-use super::{BUFFER, Reply};
+use super::{BUFFER, Front, Reply};
 use crate::node::shutdown::{Pending, STILL_ARRIVING, Shutdown};
 
 /// What holds a connection's place among the others and keeps the process from ending before it.
 pub type Held = (Place, Pending);
 
 /// One request of a connection: how it arrived is added, and a connection that cannot go on is closed behind it.
-async fn one_request<S>(
-    service: S, client: Rc<ClientState>, mut request: Request<Incoming>,
-) -> Result<Reply, Infallible>
-where
-    S: Service<Request<Incoming>, Response = Reply, Error = Infallible>,
-{
+async fn one_request(
+    front: impl Front, client: Rc<ClientState>, mut request: Request<Incoming>,
+) -> Result<Reply, Infallible> {
     let arrival = client.taken(&request);
     request.extensions_mut().insert(arrival);
-    let mut reply = service.oneshot(request).await?;
+    let mut reply = front.handle(request).await;
     let unfit = reply.status().is_client_error() && reply.status() != StatusCode::TOO_MANY_REQUESTS;
     if !client.answered(unfit) {
         reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -44,19 +40,15 @@
 }
 
 /// Serves a connection until its client leaves, it has stood idle, or the process ends.
-pub async fn serve_connection<I, S>(io: I, service: S, shutdown: Shutdown, held: Held)
-where
-    I: AsyncRead + AsyncWrite + Unpin + 'static,
-    S: Service<Request<Incoming>, Response = Reply, Error = Infallible> + Clone + 'static,
-{
+pub async fn serve_connection(
+    io: impl AsyncRead + AsyncWrite + Unpin + 'static, front: impl Front, shutdown: Shutdown, held: Held,
+) {
     let client = held.0.client.clone();
     let stream = ClientStream::new(io, client.clone());
     let last = stream.handle();
     let of_request = client.clone();
-    let service = tower::service_fn(move |request| one_request(service.clone(), of_request.clone(), request));
-    let served = http1::Builder::new()
-        .max_buf_size(BUFFER)
-        .serve_connection(TokioIo::new(stream), TowerToHyperService::new(service));
+    let service = service_fn(move |request| one_request(front.clone(), of_request.clone(), request));
+    let served = http1::Builder::new().max_buf_size(BUFFER).serve_connection(TokioIo::new(stream), service);
     // Its own box: what is left of the connection is let go of before the last bytes are read past.
     let mut served = Box::pin(served);
     let mut ending = Box::pin(async {
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -9,7 +9,6 @@
 pub mod platform;
 pub mod spiffe;
 
-use std::convert::Infallible;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -23,7 +22,6 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::timeout;
-use tower::Service;
 
 use super::Core;
 use super::attempt::Payload;
@@ -42,6 +40,12 @@
 /// A front's answer: whole, or a stream.
 pub type Reply = Response<Either<Full<Bytes>, Pieces>>;
 
+/// Answers the requests of one connection in a protocol of its own.
+pub trait Front: Clone + 'static {
+    /// Answers one request. Dropping the future means that the client has left.
+    fn handle(self, request: Request<Incoming>) -> impl Future<Output = Reply>;
+}
+
 /// A stream's body: pieces as they come, cut off where the stream broke.
 pub struct Pieces {
     pieces: mpsc::Receiver<Piece>,
@@ -96,12 +100,10 @@
 }
 
 /// Serves connections until the process has ended. With `tls` each client must prove its identity first.
-pub async fn serve<S>(
+pub async fn serve<F: Front>(
     listener: TcpListener, tls: Option<Identities>, intake: Rc<Intake>, shutdown: Shutdown,
-    service: impl Fn(Peer) -> S + Clone + 'static,
-) where
-    S: Service<Request<Incoming>, Response = Reply, Error = Infallible> + Clone + 'static,
-{
+    front: impl Fn(Peer) -> F + Clone + 'static,
+) {
     loop {
         // Past all limits clients wait in the system's queue.
         intake.vacancy().await;
@@ -118,12 +120,12 @@
         match &tls {
             None => drop(spawn_local(serve_connection(
                 socket,
-                service(Peer::Unproven),
+                front(Peer::Unproven),
                 shutdown.clone(),
                 (place, pending),
             ))),
             Some(identities) => {
-                let (identities, service, shutdown) = (identities.clone(), service.clone(), shutdown.clone());
+                let (identities, front, shutdown) = (identities.clone(), front.clone(), shutdown.clone());
                 spawn_local(async move {
                     let proven = tokio::select! {
                         proven = timeout(HEAD_TIME, identities.prove(socket)) => proven,
@@ -131,7 +133,7 @@
                     };
                     match proven {
                         Ok(Ok((stream, peer))) => {
-                            serve_connection(stream, service(peer), shutdown, (place, pending)).await;
+                            serve_connection(stream, front(peer), shutdown, (place, pending)).await;
                         }
                         Ok(Err(fault)) => {
                             tracing::warn!("intake: a client did not prove its identity: {fault}");
--- a/src/node/front/platform.rs
+++ b/src/node/front/platform.rs
@@ -2,11 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::{HashSet, VecDeque};
-use std::convert::Infallible;
-use std::future::Future;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 
 use bytes::Bytes;
 use http_body_util::{Either, Full};
@@ -19,7 +15,7 @@
 use super::body::{BodyError, read_body};
 use super::client_state::Arrival;
 use super::intake::Intake;
-use super::{Pieces, Reply, begin};
+use super::{Front, Pieces, Reply, begin};
 use crate::api::*;
 use crate::node::Core;
 use crate::node::attempt::{IDEMPOTENCY_KEY, Payload};
@@ -114,7 +110,7 @@
     }
 }
 
-/// The platform's front, as a service over HTTP.
+/// The platform's front.
 #[derive(Clone)]
 pub struct PlatformFront {
     core: Core,
@@ -125,14 +121,7 @@
     ids: Rc<RefCell<Ids>>,
 }
 
-impl PlatformFront {
-    /// A front before this core; it says that it is ready once `ready` is true.
-    pub fn new(
-        core: Core, names: Names, intake: Rc<Intake>, ready: watch::Receiver<bool>, shutdown: Shutdown,
-    ) -> Self {
-        PlatformFront { core, names: Rc::new(names), intake, ready, shutdown, ids: Rc::default() }
-    }
-
+impl Front for PlatformFront {
     async fn handle(self, request: Request<Incoming>) -> Reply {
         let mut reply = match (request.method(), request.uri().path()) {
             (_, "/v1/chat/completions") => match self.complete(request).await {
@@ -158,6 +147,15 @@
         }
         reply
     }
+}
+
+impl PlatformFront {
+    /// A front before this core; it says that it is ready once `ready` is true.
+    pub fn new(
+        core: Core, names: Names, intake: Rc<Intake>, ready: watch::Receiver<bool>, shutdown: Shutdown,
+    ) -> Self {
+        PlatformFront { core, names: Rc::new(names), intake, ready, shutdown, ids: Rc::default() }
+    }
 
     /// Never taken in, so trying again is harmless.
     fn shed(&self) -> Reply {
@@ -199,21 +197,6 @@
     }
 }
 
-impl tower::Service<Request<Incoming>> for PlatformFront {
-    type Response = Reply;
-    type Error = Infallible;
-    type Future = Pin<Box<dyn Future<Output = Result<Reply, Infallible>>>>;
-
-    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
-        Poll::Ready(Ok(()))
-    }
-
-    fn call(&mut self, request: Request<Incoming>) -> Self::Future {
-        let front = self.clone();
-        Box::pin(async move { Ok(front.handle(request).await) })
-    }
-}
-
 fn text<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, Malformed> {
     let value = headers.get(name).map(|v| v.to_str().map_err(|_| Malformed::Unfit(name, "plain text")));
     Ok(value.transpose()?.map(str::trim).filter(|v| !v.is_empty()))
--- a/tests/client_connection.rs
+++ b/tests/client_connection.rs
@@ -1,14 +1,13 @@
 //! The life of a client's connection, on a clock of the test's own.
 
-use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use croftsill::node::front::Reply;
 use croftsill::node::front::client_state::{ClientState, Stage};
 use croftsill::node::front::connection::serve_connection;
 use croftsill::node::front::intake::Intake;
+use croftsill::node::front::{Front, Reply};
 use croftsill::node::shutdown::Shutdown;
 use http_body_util::{BodyExt, Either, Full};
 use hyper::body::Incoming;
@@ -25,9 +24,14 @@
 const ANSWER: &str = "an answer of more than sixty-four bytes, which a client reads only when it likes to";
 const GET: &str = "GET /x HTTP/1.1\r\nHost: app.svc\r\n\r\n";
 
-async fn answer(mut request: Request<Incoming>) -> Result<Reply, Infallible> {
-    let _ = request.body_mut().collect().await;
-    Ok(Response::new(Either::Left(Full::new(Bytes::from_static(ANSWER.as_bytes())))))
+#[derive(Clone)]
+struct FixedAnswer;
+
+impl Front for FixedAnswer {
+    async fn handle(self, mut request: Request<Incoming>) -> Reply {
+        let _ = request.body_mut().collect().await;
+        Response::new(Either::Left(Full::new(Bytes::from_static(ANSWER.as_bytes()))))
+    }
 }
 
 /// A served connection over a pipe of this size: the client's end, and the state that the server keeps.
@@ -35,7 +39,7 @@
     let (client, server) = tokio::io::duplex(pipe);
     let (place, shutdown) = (intake.enter(), Shutdown::default());
     let (state, pending) = (place.client.clone(), shutdown.pending());
-    spawn_local(serve_connection(server, tower::service_fn(answer), shutdown, (place, pending)));
+    spawn_local(serve_connection(server, FixedAnswer, shutdown, (place, pending)));
     (client, state)
 }
 
