Tell a client that finds no room when to come back only as the settings allow

Seen by reading: both fronts answered 'no room' with Retry-After: 1 whatever the settings say; where retryAfter is false, or the longest is 250 ms, that is another customer's time. Wrong: shed() in both fronts, a constant of each. The test failed before. With it a few comments are wrapped that had grown too long.

--- a/src/main.rs
+++ b/src/main.rs
@@ -51,6 +51,7 @@
     let (discovery, address) = watch::channel(config.discovery);
     let (hangups, path) = replaced;
     spawn_local(reload::follow(hangups, path, discovery, counters.clone()));
+    let limits = config.settings.limits.clone();
     let core = Core { planner, upstream, counters };
     spawn_local(tend_fleet(core.clone(), orders));
     spawn_local(async move { pool.close_stale().await });
@@ -74,7 +75,7 @@
         ready.send_replace(true);
     });
     let intake = Intake::new(config.intake, config.body_bytes);
-    let front = PlatformFront::new(core, config.names, intake.clone(), is_ready, shutdown.clone());
+    let front = PlatformFront::new(core, (config.names, limits), intake.clone(), is_ready, shutdown.clone());
     spawn_local(serve(listener, None, intake, shutdown.clone(), move |_| front.clone()));
     tracing::info!("{} listens on {}", config.name, config.listen);
     Ok(())
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -226,8 +226,8 @@
         self.core.planner.hosts(list.full, members);
     }
 
-    /// Follows discovery for ever, wherever it is; `told` turns true when it has answered first. At a new address the whole
-    /// list is asked for again: its versions may not go on from the old one's.
+    /// Follows discovery for ever, wherever it is; `told` turns true when it has answered first. At a new address
+    /// the whole list is asked for again: its versions may not go on from the old one's.
     pub async fn follow(mut self, mut address: watch::Receiver<SocketAddr>, told: watch::Sender<bool>) {
         if self.version.is_some() {
             tokio::select! {
@@ -264,8 +264,8 @@
         }
     }
 
-    /// One watch, to its end; `since` is set to that end, or to when it was last heard if it fell silent: what it missed
-    /// from then on is as good as told.
+    /// One watch, to its end; `since` is set to that end, or to when it was last heard if it fell silent: what it
+    /// missed from then on is as good as told.
     async fn watch(
         &mut self, addr: SocketAddr, told: &watch::Sender<bool>, since: &mut Instant,
     ) -> Result<(), WatchError> {
--- a/src/node/front/chat.rs
+++ b/src/node/front/chat.rs
@@ -15,7 +15,7 @@
 use super::client_state::Arrival;
 use super::intake::Intake;
 use super::spiffe::Peer;
-use super::{Front, Pieces, Reply, begin};
+use super::{Front, Pieces, Reply, begin, shed_wait};
 use crate::api::*;
 use crate::node::Core;
 use crate::node::attempt::{IDEMPOTENCY_KEY, Payload};
@@ -30,8 +30,6 @@
 const RETRY_COUNT: HeaderName = HeaderName::from_static("x-stainless-retry-count");
 /// Characters that make a token, about.
 const CHARS_A_TOKEN: f64 = 4.0;
-/// When a client that found no room should come back.
-const SHED_WAIT: Micros = 1_000_000;
 /// Most tokens that a request may ask for.
 const TOKENS_MOST: u32 = 1 << 20;
 
@@ -260,7 +258,7 @@
     /// Never taken in, so trying again is harmless.
     fn shed(&self) -> Fault {
         add(&self.core.counters.shed);
-        Fault::Refused(Some(SHED_WAIT))
+        Fault::Refused(shed_wait(&self.chat.settings.limits))
     }
 
     fn new_id(&self) -> Rc<str> {
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -28,7 +28,7 @@
 use super::relay::{Piece, StreamBroken};
 use super::request::{Answer, Caller, run_request};
 use super::shutdown::Shutdown;
-use crate::api::NewRequest;
+use crate::api::{Limits, Micros, NewRequest};
 use client_state::{ClientState, HEAD_TIME};
 use connection::serve_connection;
 use intake::{BodyRoom, Intake};
@@ -37,6 +37,14 @@
 /// Buffer of a client's connection; heads that are longer are refused.
 pub const BUFFER: usize = 32 * 1024;
 
+/// When a client that found no room should come back, where the settings name no shorter time.
+const SHED_WAIT: Micros = 1_000_000;
+
+/// What a client that found no room is told: a time to come back only where the settings allow one.
+fn shed_wait(limits: &Limits) -> Option<Micros> {
+    limits.come_back.map(|longest| longest.min(SHED_WAIT))
+}
+
 /// A front's answer: whole, or a stream.
 pub type Reply = Response<Either<Full<Bytes>, Pieces>>;
 
@@ -85,8 +93,8 @@
     }
 }
 
-/// Starts a request's life, with the room of its body and what it keeps until its end. It has a task of its own: a front's future is dropped
-/// when the client leaves, and the request still has to be withdrawn and let go of.
+/// Starts a request's life, with the room of its body and what it keeps until its end. It has a task of its own: a
+/// front's future is dropped when the client leaves, and the request still has to be withdrawn and let go of.
 pub fn begin<K: 'static>(
     core: &Core, ask: NewRequest, payload: (Payload, BodyRoom), keep: K,
 ) -> oneshot::Receiver<Answer> {
--- a/src/node/front/platform.rs
+++ b/src/node/front/platform.rs
@@ -15,7 +15,7 @@
 use super::body::{BodyError, read_body};
 use super::client_state::Arrival;
 use super::intake::Intake;
-use super::{Front, Pieces, Reply, begin};
+use super::{Front, Pieces, Reply, begin, shed_wait};
 use crate::api::*;
 use crate::node::Core;
 use crate::node::attempt::{IDEMPOTENCY_KEY, Payload};
@@ -30,8 +30,6 @@
 const ID_MOST: usize = 128;
 /// Longest time a client may ask for, in milliseconds.
 const TIMEOUT_MOST: u64 = 3_600_000;
-/// When a client that found no room should come back.
-const SHED_WAIT: Micros = 1_000_000;
 /// Taken off a client's patience, which runs from the last byte of its request, for the way of request and answer.
 const ON_THE_WAY: Micros = 5_000;
 
@@ -115,6 +113,7 @@
 pub struct PlatformFront {
     core: Core,
     names: Rc<Names>,
+    limits: Limits,
     intake: Rc<Intake>,
     ready: watch::Receiver<bool>,
     shutdown: Shutdown,
@@ -152,15 +151,16 @@
 impl PlatformFront {
     /// A front before this core; it says that it is ready once `ready` is true.
     pub fn new(
-        core: Core, names: Names, intake: Rc<Intake>, ready: watch::Receiver<bool>, shutdown: Shutdown,
+        core: Core, (names, limits): (Names, Limits), intake: Rc<Intake>, ready: watch::Receiver<bool>,
+        shutdown: Shutdown,
     ) -> Self {
-        PlatformFront { core, names: Rc::new(names), intake, ready, shutdown, ids: Rc::default() }
+        PlatformFront { core, names: Rc::new(names), limits, intake, ready, shutdown, ids: Rc::default() }
     }
 
     /// Never taken in, so trying again is harmless.
     fn shed(&self) -> Reply {
         add(&self.core.counters.shed);
-        refusal(Some(SHED_WAIT))
+        refusal(shed_wait(&self.limits))
     }
 
     async fn complete(&self, mut request: Request<Incoming>) -> Result<Reply, Malformed> {
--- a/src/node/planner.rs
+++ b/src/node/planner.rs
@@ -55,7 +55,7 @@
     Closed(RequestId),
 }
 
-/// The forwarders' way to a planner.
+/// The requests' way to a planner.
 #[derive(Clone)]
 pub struct Planner {
     inputs: UnboundedSender<Input>,
--- a/tests/connection_wait.rs
+++ b/tests/connection_wait.rs
@@ -25,8 +25,8 @@
 /// Far above any wait that is meant.
 const PATIENCE: Duration = Duration::from_secs(30);
 
-/// A core with one prefill server and one decode server at this address, and room for a single connection to them. What is under
-/// way cannot be withdrawn.
+/// A core with one prefill server and one decode server at this address, and room for a single connection to them.
+/// What is under way cannot be withdrawn.
 fn core(listener: &TcpListener) -> Core {
     let mut settings = rig::settings();
     settings.limits.cancel = false;
--- a/tests/customers.rs
+++ b/tests/customers.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::peers::{Connection, END, Listener, READ, STREAM, client, list, request, start};
+use common::peers::{Connection, END, Listener, Message, READ, STREAM, client, list, request, start};
 use common::program::{address, target};
 
 const UNSAFE: &str = "\"semantics\": \"non_idempotent\"";
@@ -81,3 +81,28 @@
     asking.close();
     program.end();
 }
+
+/// The answer to a request whose body finds no room, with the settings changed.
+fn shed(settings: &[(&str, &str)]) -> Message {
+    let base = address();
+    let no_memory = [("\"memory_mb\":192", "\"memory_mb\":0")];
+    let (program, _discovery, _watch) = start(&base, &["r1", "w1"], &[&no_memory, settings].concat());
+    let mut asking = client(&base);
+    asking.send(&request("f1", "climb-query", 6_000));
+    let answer = asking.message();
+    asking.close();
+    program.end();
+    answer
+}
+
+#[test]
+fn a_client_that_finds_no_room_is_told_when_to_come_back_only_as_the_settings_allow() {
+    let allowed = shed(&[]);
+    assert!(allowed.head.starts_with("HTTP/1.1 429 "), "{allowed:?}");
+    assert_eq!(allowed.header("retry-after"), Some("1"));
+    let soon = shed(&[("\"maxRetryAfter\": 2000.0", "\"maxRetryAfter\": 250.0")]);
+    assert_eq!(soon.header("retry-after"), Some("0.25"));
+    let forbidden = shed(&[("\"retryAfter\": true", "\"retryAfter\": false")]);
+    assert!(forbidden.head.starts_with("HTTP/1.1 429 "), "{forbidden:?}");
+    assert_eq!(forbidden.header("retry-after"), None);
+}
