--- a/tests/connection_wait.rs
+++ b/tests/connection_wait.rs
@@ -20,8 +20,10 @@
 mod common;
 use common::rig;
 
-/// After which a connection on loopback that has not come up waits for room at the listener.
-const CROWDED: Duration = Duration::from_millis(200);
+/// Connections that the system queues for a listener.
+const BACKLOG: u32 = 1;
+/// For what is already on its way over loopback.
+const ON_THE_WAY: Duration = Duration::from_millis(200);
 /// Far above any wait that is meant.
 const PATIENCE: Duration = Duration::from_secs(30);
 
@@ -104,12 +106,13 @@
 async fn waits_for_a_handshake_and_leaves() -> Vec<u8> {
     let socket = TcpSocket::new_v4().expect("a socket");
     socket.bind(([127, 0, 0, 1], 0).into()).expect("a free port");
-    let listener = socket.listen(1).expect("it listens");
+    let listener = socket.listen(BACKLOG).expect("it listens");
     let addr = listener.local_addr().expect("it listens");
-    // Nobody accepts these, so whoever comes next waits for the system to take the connection.
+    // Nobody accepts these, so whoever comes next waits for the system to take the connection: it queues one
+    // more than it is told.
     let mut crowd = Vec::new();
-    while let Ok(Ok(one)) = timeout(CROWDED, TcpStream::connect(addr)).await {
-        crowd.push(one);
+    for _ in 0..=BACKLOG {
+        crowd.push(TcpStream::connect(addr).await.expect("room in the queue"));
     }
     let core = core(&listener);
     let (caller, answer) = Caller::new();
@@ -119,8 +122,8 @@
     timeout(PATIENCE, life).await.expect("it ends").expect("it ends well");
     drop(crowd);
     let mut written = Vec::new();
-    while let Ok(Ok((mut socket, _))) = timeout(CROWDED, listener.accept()).await {
-        let _ = timeout(CROWDED, socket.read_to_end(&mut written)).await;
+    while let Ok(Ok((mut socket, _))) = timeout(ON_THE_WAY, listener.accept()).await {
+        let _ = timeout(ON_THE_WAY, socket.read_to_end(&mut written)).await;
     }
     written
 }
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -342,3 +342,19 @@
     asking.close();
     program.end();
 }
+
+#[test]
+fn the_time_of_a_client_that_writes_slowly_runs_from_its_last_byte() {
+    let base = address();
+    let (mut program, _discovery, _watch) = start(&base, &["r1", "w1"], &[]);
+    let mut slow = client(&base);
+    let text = request("t1", "climb-query", 6_000);
+    let (head, body) = text.split_at(text.len() - 5);
+    slow.send(head);
+    // Long against what is taken off for the way.
+    std::thread::sleep(std::time::Duration::from_millis(300));
+    slow.send(body);
+    program.logs("request t1: taken, 200 tokens, 0 of them shared, 5995 ms left");
+    slow.close();
+    program.end();
+}
