--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -23,6 +23,17 @@
     connection
 }
 
+/// Plays a request to the end of its answer; the servers' connections stay open as long as the result.
+fn answer_whole(
+    (prefills, decodes): (&Listener, &Listener), id: &str, client: &mut Connection,
+) -> [Connection; 2] {
+    let prefill = prefill(prefills, id);
+    let mut stream = decode(decodes, id);
+    stream.send(END);
+    client.reads_until("0\r\n\r\n");
+    [prefill, stream]
+}
+
 #[test]
 fn a_stream_that_is_open_at_sigterm_reaches_its_end_and_no_resting_connection_is_read_further() {
     let base = address();
@@ -61,10 +72,7 @@
     program.logs("shutdown: begun");
     let mut late = client(&base);
     late.send(&request("n1", "climb-query", 6_000));
-    let _prefill = prefill(&prefills, "n1");
-    let mut stream = decode(&decodes, "n1");
-    stream.send(END);
-    late.reads_until("0\r\n\r\n");
+    let _open = answer_whole((&prefills, &decodes), "n1", &mut late);
     late.close();
     program.ended(true);
 }
@@ -88,10 +96,7 @@
     program.logs("shutdown: begun");
     assert_eq!(other.rest(), "");
     slow.send(second);
-    let _prefill = prefill(&prefills, "h1");
-    let mut stream = decode(&decodes, "h1");
-    stream.send(END);
-    slow.reads_until("0\r\n\r\n");
+    let _open = answer_whole((&prefills, &decodes), "h1", &mut slow);
     slow.close();
     other.close();
     program.ended(true);
@@ -188,28 +193,18 @@
     let (program, _discovery, _watch) = start(&base, &["r1", "w1"], &[]);
     let mut first = client(&base);
     first.send(&request("k1", "climb-query", 6_000));
-    let mut kept = prefill(&prefills, "k1");
-    let mut stream = decode(&decodes, "k1");
-    stream.send(END);
-    first.reads_until("0\r\n\r\n");
+    let [mut kept, stream] = answer_whole((&prefills, &decodes), "k1", &mut first);
     // Half of an answer to nothing, as from a server that goes down while its connection rests.
     kept.send("HTTP/1.1 50");
     kept.close();
     first.send(&request("k2", "climb-query", 6_000));
-    let _prefill = prefill(&prefills, "k2");
-    let mut stream = decode_on_any(&decodes, stream, "k2");
-    stream.send(END);
-    first.reads_until("0\r\n\r\n");
+    // The decode server's connection goes in good order, for a new one.
+    drop(stream);
+    let _open = answer_whole((&prefills, &decodes), "k2", &mut first);
     first.close();
     program.end();
 }
 
-/// Takes a request at a decode server, on the connection that it kept or on a new one.
-fn decode_on_any(server: &Listener, kept: Connection, id: &str) -> Connection {
-    drop(kept);
-    decode(server, id)
-}
-
 #[test]
 fn half_a_line_and_a_close_instead_of_an_answer_are_followed_by_one_more_attempt() {
     let base = address();
@@ -335,10 +330,7 @@
     assert_eq!(old.connection.rest_or_reset(), "");
     let mut asking = client(&base);
     asking.send(&request("d1", "climb-query", 6_000));
-    let _prefill = prefill(&prefills, "d1");
-    let mut stream = decode(&decodes, "d1");
-    stream.send(END);
-    asking.reads_until("0\r\n\r\n");
+    let _open = answer_whole((&prefills, &decodes), "d1", &mut asking);
     asking.close();
     program.end();
 }
