Compute until when a repeat may begin in one place

send() and may_run_at() each had the formula since + window - margin; Request::repeats_until has it now.

--- a/src/logic/attempts.rs
+++ b/src/logic/attempts.rs
@@ -11,6 +11,15 @@
 const FULL_MULTIPLE: Micros = 20; // ...and of the time that it took to say so
 const REPEAT_MARGIN: Micros = 100_000; // of a repeat's window: a handshake and the way to the instance
 
+impl Request {
+    /// Until when an attempt may begin that could repeat a keyed effect; none where any time will do.
+    fn repeats_until(&self, set: &Settings) -> Option<Micros> {
+        let effect = set.classes[self.ask.class.0].effect;
+        let (Effect::Keyed(_, window), Some((_, since))) = (effect, self.may_have_run) else { return None };
+        Some(since + window - REPEAT_MARGIN)
+    }
+}
+
 impl Router {
     pub(super) fn send_write(&mut self, now: Micros, id: RequestId, decode: HostId, out: &mut Vec<Action>) {
         let (host, r) = (&self.hosts[&decode], &self.requests[&id]);
@@ -36,11 +45,7 @@
             host.pending.insert(id, now);
         }
         host.unused_since = now;
-        let (_, since) = r.may_have_run.unzip();
-        let start_within = match self.set.classes[r.ask.class.0].effect {
-            Effect::Keyed(_, window) => since.map(|since| since + window - REPEAT_MARGIN - now),
-            _ => None,
-        };
+        let start_within = r.repeats_until(&self.set).map(|until| until - now);
         out.push(Action::Send { request: id, host: to, time_out: time_out.max(1), start_within });
     }
 
@@ -138,18 +143,15 @@
 
     fn forget(&mut self, id: RequestId) {
         self.unplace(id);
-        if let Some(r) = self.requests.remove(&id) {
-            self.high.remove(&(r.aim_at, id));
-            self.low.remove(&(r.aim_at, id));
-        }
+        let Some(r) = self.requests.remove(&id) else { return };
+        self.high.remove(&(r.aim_at, id));
+        self.low.remove(&(r.aim_at, id));
     }
 
     /// Rule 1: the one final answer, at once, with all that is held let go of.
     pub(super) fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id) else { return };
-        if r.sent > 0 {
-            out.push(Action::Release(id));
-        }
+        out.extend((r.sent > 0).then_some(Action::Release(id)));
         let repeats =
             matches!(self.set.classes[r.ask.class.0].effect, Effect::Safe | Effect::Keyed(Group::All, _));
         let refusal = Action::Refuse { request: id, come_back: self.set.limits.come_back };
@@ -159,10 +161,10 @@
 
     /// Rule 2: whether an attempt there, also a read, could not repeat an effect.
     pub(super) fn may_run_at(&self, now: Micros, r: &Request, at: HostId) -> bool {
-        let Some((ran_at, since)) = r.may_have_run else { return true };
+        let Some((ran_at, _)) = r.may_have_run else { return true };
         let group = match self.set.classes[r.ask.class.0].effect {
             Effect::Safe => return true,
-            Effect::Keyed(group, window) if now < since + window - REPEAT_MARGIN => group,
+            Effect::Keyed(group, _) if r.repeats_until(&self.set).is_some_and(|until| now < until) => group,
             _ => return false,
         };
         let (Some(a), Some(b)) = (self.hosts.get(&ran_at), self.hosts.get(&at)) else { return false };
--- a/src/logic/hosts.rs
+++ b/src/logic/hosts.rs
@@ -188,9 +188,8 @@
         let Some(host) = self.hosts.get_mut(&at).filter(counts) else { return };
         (host.fails, host.failed_at) = (host.fails + 1, now);
         host.rest_until = now + (REST << (host.fails - 1).min(10)).min(REST_MOST);
-        if host.fails == FAILS_RESTART {
-            out.push(Action::Log(format!("host {} fails again and again: single trials only", at.0)));
-        }
+        let line = || Action::Log(format!("host {} fails again and again: single trials only", at.0));
+        out.extend((host.fails == FAILS_RESTART).then(line));
     }
 
     /// An answer of any use ends the rest; after a long silence the host is taken for cold.
