--- a/src/node/front/chat.rs
+++ b/src/node/front/chat.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -15,7 +15,7 @@
 use super::client_state::Arrival;
 use super::intake::Intake;
 use super::spiffe::Peer;
-use super::{Front, Pieces, Reply, begin, shed_wait};
+use super::{Front, Pieces, Reply, begin, set_retry_after, shed_wait};
 use crate::api::*;
 use crate::node::Core;
 use crate::node::attempt::{IDEMPOTENCY_KEY, Payload};
@@ -121,11 +121,7 @@
         let mut reply = object(status, &error);
         let headers = reply.headers_mut();
         match self {
-            Fault::Refused(come_back) => {
-                let seconds =
-                    come_back.and_then(|us| HeaderValue::from_str(&(us as f64 / 1e6).to_string()).ok());
-                seconds.map(|seconds| headers.insert(RETRY_AFTER, seconds));
-            }
+            Fault::Refused(come_back) => set_retry_after(headers, *come_back),
             // Public client libraries repeat most statuses by themselves unless told otherwise.
             _ => drop(headers.insert(SHOULD_RETRY, HeaderValue::from_static("false"))),
         }
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -17,6 +17,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::{Either, Full};
 use hyper::body::{Body, Frame, Incoming};
+use hyper::header::{HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
@@ -45,6 +46,14 @@
     limits.come_back.map(|longest| longest.min(SHED_WAIT))
 }
 
+/// Tells a client when to come back, in seconds, if it is to be told at all.
+fn set_retry_after(headers: &mut HeaderMap, come_back: Option<Micros>) {
+    let seconds = come_back.map(|micros| (micros as f64 / 1e6).to_string());
+    if let Some(seconds) = seconds.and_then(|seconds| HeaderValue::from_str(&seconds).ok()) {
+        headers.insert(RETRY_AFTER, seconds);
+    }
+}
+
 /// A front's answer: whole, or a stream.
 pub type Reply = Response<Either<Full<Bytes>, Pieces>>;
 
--- a/src/node/front/platform.rs
+++ b/src/node/front/platform.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64;
@@ -15,7 +15,7 @@
 use super::body::{BodyError, read_body};
 use super::client_state::Arrival;
 use super::intake::Intake;
-use super::{Front, Pieces, Reply, begin, shed_wait};
+use super::{Front, Pieces, Reply, begin, set_retry_after, shed_wait};
 use crate::api::*;
 use crate::node::Core;
 use crate::node::attempt::{IDEMPOTENCY_KEY, Payload};
@@ -275,8 +275,7 @@
 
 fn refusal(come_back: Option<Micros>) -> Reply {
     let mut reply = plain(StatusCode::TOO_MANY_REQUESTS, "refused: trying again is harmless\n");
-    let seconds = come_back.and_then(|us| HeaderValue::from_str(&(us as f64 / 1e6).to_string()).ok());
-    seconds.map(|seconds| reply.headers_mut().insert(RETRY_AFTER, seconds));
+    set_retry_after(reply.headers_mut(), come_back);
     reply
 }
 
