--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -2,8 +2,10 @@
 
 mod common;
 
-use common::peers::{Connection, END, Listener, READ, STREAM, client, list, request, start};
-use common::program::{address, target};
+use common::peers::{
+    Connection, Discovery, END, Listener, READ, STREAM, Watch, client, list, request, start,
+};
+use common::program::{Program, address, target};
 
 /// Plays the prefill of a request at a server, on a connection that stays open.
 fn prefill(server: &Listener, id: &str) -> Connection {
@@ -23,33 +25,54 @@
     connection
 }
 
-/// Plays a request to the end of its answer; the servers' connections stay open as long as the result.
-fn answer_whole(
-    (prefills, decodes): (&Listener, &Listener), id: &str, client: &mut Connection,
-) -> [Connection; 2] {
-    let prefill = prefill(prefills, id);
-    let mut stream = decode(decodes, id);
-    stream.send(END);
-    client.reads_until("0\r\n\r\n");
-    [prefill, stream]
+/// The program with a prefill server and a decode server that the test plays.
+struct Peers {
+    base: String,
+    prefills: Listener,
+    decodes: Listener,
+    program: Program,
+    _discovery: Discovery,
+    _watch: Watch,
+}
+
+impl Peers {
+    /// Starts the program with its settings changed.
+    fn start(settings: &[(&str, &str)]) -> Self {
+        let base = address();
+        let (prefills, decodes) = (Listener::instance(&base, "r1"), Listener::instance(&base, "w1"));
+        let (program, discovery, watch) = start(&base, &["r1", "w1"], settings);
+        Peers { base, prefills, decodes, program, _discovery: discovery, _watch: watch }
+    }
+
+    /// A client's connection to the program.
+    fn client(&self) -> Connection {
+        client(&self.base)
+    }
+
+    /// Plays a request to the end of its answer; the servers' connections stay open as long as the result.
+    fn answer_whole(&self, id: &str, client: &mut Connection) -> [Connection; 2] {
+        let prefill = prefill(&self.prefills, id);
+        let mut stream = decode(&self.decodes, id);
+        stream.send(END);
+        client.reads_until("0\r\n\r\n");
+        [prefill, stream]
+    }
 }
 
 #[test]
 fn a_stream_that_is_open_at_sigterm_reaches_its_end_and_no_resting_connection_is_read_further() {
-    let base = address();
-    let (prefills, decodes) = (Listener::instance(&base, "r1"), Listener::instance(&base, "w1"));
-    let (mut program, _discovery, _watch) = start(&base, &["r1", "w1"], &[]);
-    let mut resting = client(&base);
+    let mut peers = Peers::start(&[]);
+    let mut resting = peers.client();
     resting.send("GET /-/ready HTTP/1.1\r\nHost: app.svc\r\n\r\n");
     assert!(resting.message().head.starts_with("HTTP/1.1 200"));
-    let mut streaming = client(&base);
+    let mut streaming = peers.client();
     streaming.send(&request("s1", "climb-query", 6_000));
-    let _prefill = prefill(&prefills, "s1");
-    let mut stream = decode(&decodes, "s1");
+    let _prefill = prefill(&peers.prefills, "s1");
+    let mut stream = decode(&peers.decodes, "s1");
     streaming.reads_until("data: {\"n\":1}\n\n");
 
-    program.signal("TERM");
-    program.logs("shutdown: begun");
+    peers.program.signal("TERM");
+    peers.program.logs("shutdown: begun");
     assert_eq!(resting.rest(), "", "a resting connection ends without an answer");
     // It crosses the close: it is not read, so its client may send it again elsewhere.
     resting.send_into_the_close(&request("late", "climb-query", 6_000));
@@ -58,62 +81,56 @@
     streaming.reads_until("0\r\n\r\n");
     streaming.close();
     resting.close();
-    let log = program.ended(true);
+    let log = peers.program.ended(true);
     assert!(log.contains("\"taken\":1,"), "{log}");
-    assert!(prefills.is_untouched(), "the late request was sent on");
+    assert!(peers.prefills.is_untouched(), "the late request was sent on");
 }
 
 #[test]
 fn a_new_connection_after_sigterm_is_served() {
-    let base = address();
-    let (prefills, decodes) = (Listener::instance(&base, "r1"), Listener::instance(&base, "w1"));
-    let (mut program, _discovery, _watch) = start(&base, &["r1", "w1"], &[]);
-    program.signal("TERM");
-    program.logs("shutdown: begun");
-    let mut late = client(&base);
+    let mut peers = Peers::start(&[]);
+    peers.program.signal("TERM");
+    peers.program.logs("shutdown: begun");
+    let mut late = peers.client();
     late.send(&request("n1", "climb-query", 6_000));
-    let _open = answer_whole((&prefills, &decodes), "n1", &mut late);
+    let _open = peers.answer_whole("n1", &mut late);
     late.close();
-    program.ended(true);
+    peers.program.ended(true);
 }
 
 #[test]
 fn a_request_whose_head_is_half_read_at_sigterm_is_answered() {
-    let base = address();
-    let (prefills, decodes) = (Listener::instance(&base, "r1"), Listener::instance(&base, "w1"));
-    let (mut program, _discovery, _watch) = start(&base, &["r1", "w1"], &[]);
-    let mut slow = client(&base);
+    let mut peers = Peers::start(&[]);
+    let mut slow = peers.client();
     slow.send("GET /-/ready HTTP/1.1\r\nHost: app.svc\r\n\r\n");
     slow.message();
     let text = request("h1", "climb-query", 6_000);
     let (first, second) = text.split_at(40);
     slow.send(first);
     // Asked behind it, so what stands above has been read when this is answered.
-    let mut other = client(&base);
+    let mut other = peers.client();
     other.send("GET /-/ready HTTP/1.1\r\nHost: app.svc\r\n\r\n");
     other.message();
-    program.signal("TERM");
-    program.logs("shutdown: begun");
+    peers.program.signal("TERM");
+    peers.program.logs("shutdown: begun");
     assert_eq!(other.rest(), "");
     slow.send(second);
-    let _open = answer_whole((&prefills, &decodes), "h1", &mut slow);
+    let _open = peers.answer_whole("h1", &mut slow);
     slow.close();
     other.close();
-    program.ended(true);
+    peers.program.ended(true);
 }
 
 #[test]
 fn the_process_stays_until_its_last_client_has_read_the_end() {
-    let base = address();
-    let (prefills, decodes) = (Listener::instance(&base, "r1"), Listener::instance(&base, "w1"));
-    let (mut program, _discovery, _watch) = start(&base, &["r1", "w1"], &[]);
-    let mut last = client(&base);
+    let mut peers = Peers::start(&[]);
+    let mut last = peers.client();
     last.send(&request("e1", "climb-query", 6_000));
-    let _prefill = prefill(&prefills, "e1");
-    let mut stream = decode(&decodes, "e1");
+    let _prefill = prefill(&peers.prefills, "e1");
+    let mut stream = decode(&peers.decodes, "e1");
     last.reads_until("data: {\"n\":1}\n\n");
-    program.signal("TERM");
-    program.logs("still open");
+    peers.program.signal("TERM");
+    peers.program.logs("still open");
     stream.send(END);
     last.reads_until("0\r\n\r\n");
     assert_eq!(last.rest(), "");
@@ -121,50 +138,45 @@
     for _ in 0..100 {
         last.send("G");
         std::thread::sleep(std::time::Duration::from_millis(2));
-        assert!(program.runs(), "it ended while a client could still send");
+        assert!(peers.program.runs(), "it ended while a client could still send");
     }
     last.close();
-    program.ended(true);
+    peers.program.ended(true);
 }
 
 #[test]
 fn a_client_that_sends_more_behind_its_request_and_leaves_is_noticed() {
-    let base = address();
-    let (prefills, decodes) = (Listener::instance(&base, "r1"), Listener::instance(&base, "w1"));
-    let (mut program, _discovery, _watch) = start(&base, &["r1", "w1"], &[]);
-    let mut leaving = client(&base);
+    let mut peers = Peers::start(&[]);
+    let mut leaving = peers.client();
     leaving.send(&(request("p1", "climb-query", 6_000) + &request("p2", "climb-query", 6_000)));
-    let mut asked = prefills.accept();
+    let mut asked = peers.prefills.accept();
     assert_eq!(asked.message().header("request-id"), Some("p1"));
     leaving.close();
-    program.logs("request p1: its client left");
+    peers.program.logs("request p1: its client left");
     // The attempt is withdrawn: its connection ends, and nothing else is sent than the call that lets go of it.
     assert_eq!(asked.rest_or_reset(), "");
-    program.logs("request p1: letting go of what is held");
-    let log = program.end();
+    peers.program.logs("request p1: letting go of what is held");
+    let log = peers.program.end();
     assert!(log.contains("\"taken\":1,"), "{log}");
-    assert_eq!(prefills.requests_left(), 0);
-    assert_eq!(decodes.requests_left(), 0);
+    assert_eq!(peers.prefills.requests_left(), 0);
+    assert_eq!(peers.decodes.requests_left(), 0);
 }
 
 #[test]
 fn nothing_is_sent_for_a_client_that_leaves_between_two_attempts() {
-    let base = address();
-    let (prefills, decodes) = (Listener::instance(&base, "r1"), Listener::instance(&base, "w1"));
     // Nothing can be withdrawn here, so an attempt that is out goes on after its client has left.
-    let (mut program, _discovery, _watch) =
-        start(&base, &["r1", "w1"], &[("\"cancelling\": true", "\"cancelling\": false")]);
-    let mut leaving = client(&base);
+    let mut peers = Peers::start(&[("\"cancelling\": true", "\"cancelling\": false")]);
+    let mut leaving = peers.client();
     leaving.send(&request("b1", "climb-query", 6_000));
-    let mut asked = prefills.accept();
+    let mut asked = peers.prefills.accept();
     asked.message();
     leaving.close();
-    program.logs("request b1: its client left");
+    peers.program.logs("request b1: its client left");
     asked.send(READ);
     // On the same connection or on another one: what is held is let go of, and no decode server hears of it.
-    program.logs("request b1: letting go of what is held");
-    program.end();
-    assert_eq!(decodes.requests_left(), 0, "sent on after its client had left");
+    peers.program.logs("request b1: letting go of what is held");
+    peers.program.end();
+    assert_eq!(peers.decodes.requests_left(), 0, "sent on after its client had left");
 }
 
 #[test]
@@ -188,51 +200,45 @@
 
 #[test]
 fn a_kept_connection_that_ends_as_it_is_used_again_costs_no_request() {
-    let base = address();
-    let (prefills, decodes) = (Listener::instance(&base, "r1"), Listener::instance(&base, "w1"));
-    let (program, _discovery, _watch) = start(&base, &["r1", "w1"], &[]);
-    let mut first = client(&base);
+    let peers = Peers::start(&[]);
+    let mut first = peers.client();
     first.send(&request("k1", "climb-query", 6_000));
-    let [mut kept, stream] = answer_whole((&prefills, &decodes), "k1", &mut first);
+    let [mut kept, stream] = peers.answer_whole("k1", &mut first);
     // Half of an answer to nothing, as from a server that goes down while its connection rests.
     kept.send("HTTP/1.1 50");
     kept.close();
     first.send(&request("k2", "climb-query", 6_000));
     // The decode server's connection goes in good order, for a new one.
     drop(stream);
-    let _open = answer_whole((&prefills, &decodes), "k2", &mut first);
+    let _open = peers.answer_whole("k2", &mut first);
     first.close();
-    program.end();
+    peers.program.end();
 }
 
 #[test]
 fn half_a_line_and_a_close_instead_of_an_answer_are_followed_by_one_more_attempt() {
-    let base = address();
-    let (prefills, decodes) = (Listener::instance(&base, "r1"), Listener::instance(&base, "w1"));
-    let (program, _discovery, _watch) = start(&base, &["r1", "w1"], &[]);
-    let mut asking = client(&base);
+    let peers = Peers::start(&[]);
+    let mut asking = peers.client();
     asking.send(&request("l1", "climb-query", 6_000));
-    let _prefill = prefill(&prefills, "l1");
-    let mut broken = decodes.accept();
+    let _prefill = prefill(&peers.prefills, "l1");
+    let mut broken = peers.decodes.accept();
     broken.message();
     broken.send("HTTP/1.1 200 O");
     broken.close();
-    let mut stream = decode(&decodes, "l1");
+    let mut stream = decode(&peers.decodes, "l1");
     stream.send(END);
     asking.reads_until("0\r\n\r\n");
     asking.close();
-    program.end();
+    peers.program.end();
 }
 
 #[test]
 fn an_event_is_passed_on_while_the_next_one_has_only_begun() {
-    let base = address();
-    let (prefills, decodes) = (Listener::instance(&base, "r1"), Listener::instance(&base, "w1"));
-    let (program, _discovery, _watch) = start(&base, &["r1", "w1"], &[]);
-    let mut asking = client(&base);
+    let peers = Peers::start(&[]);
+    let mut asking = peers.client();
     asking.send(&request("v1", "climb-query", 6_000));
-    let _prefill = prefill(&prefills, "v1");
-    let mut stream = decode(&decodes, "v1");
+    let _prefill = prefill(&peers.prefills, "v1");
+    let mut stream = decode(&peers.decodes, "v1");
     asking.reads_until("data: {\"n\":1}\n\n");
     // One event and the beginning of another in one chunk.
     stream.send("16\r\ndata: {\"n\":2}\n\ndata: {\r\n");
@@ -242,7 +248,7 @@
     stream.send(END);
     asking.reads_until("0\r\n\r\n");
     asking.close();
-    program.end();
+    peers.program.end();
 }
 
 #[test]
@@ -330,7 +336,10 @@
     assert_eq!(old.connection.rest_or_reset(), "");
     let mut asking = client(&base);
     asking.send(&request("d1", "climb-query", 6_000));
-    let _open = answer_whole((&prefills, &decodes), "d1", &mut asking);
+    let _prefill = prefill(&prefills, "d1");
+    let mut stream = decode(&decodes, "d1");
+    stream.send(END);
+    asking.reads_until("0\r\n\r\n");
     asking.close();
     program.end();
 }
