Read lists byte by byte until they are whole, and each entry by itself

Cause: `whole_lists` handed every prefix of a list to the parser and told a cut from a syntax error by the parser's word, which is wrong inside numbers and literals; one entry with an unknown state or address failed the whole list. Change: `target_list::ListReader` follows strings and brackets and parses a list once, when it is whole; an entry that cannot be read takes its target out of use and leaves the others alone. A list that has only begun no longer counts as heard. Targets get their numbers in constant time. `Backoff` stands in a module of its own.

--- a/src/main.rs
+++ b/src/main.rs
@@ -59,7 +59,7 @@
     let mut directory =
         Directory::new(core.clone(), config.settings, config.names.clone(), clock, config.seed);
     if let Some(known) = &config.known {
-        directory.take(known);
+        directory.take_list(known);
     }
     let (told, heard) = watch::channel(false);
     let (ready, is_ready) = watch::channel(false);
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -9,9 +9,9 @@
 use serde::Deserialize;
 use serde_json::Value;
 
-use super::discovery::Targets;
 use super::front::spiffe::{Identities, Tls};
 use super::pool::PoolLimits;
+use super::target_list::TargetList;
 use crate::api::{Class, ClassId, Effect, Kind, Micros, Role, Settings};
 use crate::wire::{Names, settings_from};
 
@@ -40,7 +40,7 @@
     /// For random numbers.
     pub seed: u64,
     /// The last known list of hosts, perhaps old.
-    pub known: Option<Targets>,
+    pub known: Option<TargetList>,
     /// The module's settings.
     pub settings: Settings,
     /// Their names.
@@ -61,7 +61,7 @@
     seed: String,
     #[serde(default)]
     limits: Limits,
-    known: Option<Targets>,
+    known: Option<TargetList>,
     settings: Value,
 }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -5,6 +5,7 @@
 //! connection of the [`pool`], [`relay`] passes the stream's [`events`] on, and [`release`] lets go of what is held.
 
 pub mod attempt;
+pub mod backoff;
 pub mod config;
 pub mod counters;
 pub mod discovery;
@@ -18,6 +19,7 @@
 pub mod reload;
 pub mod request;
 pub mod shutdown;
+pub mod target_list;
 
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use common::program;
-use croftsill::node::discovery::Backoff;
+use croftsill::node::backoff::Backoff;
 
 /// Takes one call to discovery: its request line, and the connection to answer on.
 fn call(listener: &TcpListener) -> (String, TcpStream) {
--- a/tests/lists.rs
+++ b/tests/lists.rs
@@ -2,8 +2,11 @@
 
 mod common;
 
-use common::peers::{Connection, Discovery, client, list, start};
+use std::time::{Duration, Instant};
+
+use common::peers::{Connection, Discovery, Listener, client, list, start};
 use common::program::{address, file, target};
+use croftsill::node::target_list::ListReader;
 
 /// Once this is answered, the program has read what was sent to it before.
 fn round_trip(base: &str) {
@@ -47,6 +50,39 @@
     assert!(!log.contains("watch lost"), "{log}");
 }
 
+#[test]
+fn a_server_whose_entry_cannot_be_read_gets_nothing_new() {
+    let base = address();
+    let prefills = Listener::instance(&base, "r1");
+    let (mut program, _discovery, mut watch) = start(&base, &["r1", "w1"], &[]);
+    let unknown = target(&base, "r1", "Rebooting");
+    let known = target(&base, "w1", "Terminating");
+    watch.send(&(list(2, false, &[unknown, known]) + "\n"));
+    program.logs("discovery: w1 is Terminating");
+    let mut asking = client(&base);
+    asking.send(&common::peers::request("u1", "climb-query", 300));
+    assert!(asking.message().head.starts_with("HTTP/1.1 429"));
+    program.end();
+    assert!(prefills.is_untouched(), "sent to a server in an unknown state");
+}
+
+#[test]
+fn a_long_list_in_small_pieces_costs_little_more_than_one_that_comes_at_once() {
+    let targets: Vec<_> = (0..3_200).map(|n| target("127.0.0.1", &format!("r{n}"), "Ready")).collect();
+    let text = list(1, true, &targets);
+    let read = |piece: usize| {
+        let (begun, mut reader) = (Instant::now(), ListReader::default());
+        let lists: Vec<_> =
+            text.as_bytes().chunks(piece).flat_map(|bytes| reader.push(bytes).expect("a list")).collect();
+        assert_eq!(lists.len(), 1);
+        assert_eq!(lists[0].servers.len(), 3_200);
+        begun.elapsed()
+    };
+    let (whole, pieces) = (read(text.len()), read(97));
+    println!("{} bytes: whole {whole:?}, in pieces of 97 bytes {pieces:?}", text.len());
+    assert!(pieces < 5 * whole + Duration::from_millis(200), "whole {whole:?}, in pieces {pieces:?}");
+}
+
 #[test]
 fn a_configuration_that_is_half_written_at_the_signal_is_read_once_it_is_whole() {
     let base = address();
