Read a replaced configuration again until it can be used

Cause: at SIGHUP the file was read once; one that was half written at that moment, or that the system failed to open, changed nothing for good, and the router went on asking the old discovery, which closes. Change: a file that cannot be used is read again each 100 ms for 3 s. What a moved discovery has to tell counts as told 4 s after the signal.

--- a/src/node/reload.rs
+++ b/src/node/reload.rs
@@ -1,14 +1,22 @@
 //! Replaced configuration, taken in without a restart at each SIGHUP.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
+use tokio::time::{Instant, sleep};
 
-use super::config::Platform;
+use super::config::{ConfigError, Platform};
 use super::counters::{Counters, add};
 
+/// For a configuration that cannot be used to become whole. What a moved discovery has to tell counts as told 4 s after
+/// the signal.
+const REPLACED_WITHIN: Duration = Duration::from_secs(3);
+/// Between reads of a configuration that cannot be used.
+const READ_AGAIN: Duration = Duration::from_millis(100);
+
 /// SIGHUP from now on: it no longer ends the process, even before anybody listens.
 pub fn hangups() -> std::io::Result<Signal> {
     signal(SignalKind::hangup())
@@ -20,7 +28,7 @@
     mut hangups: Signal, path: PathBuf, discovery: watch::Sender<SocketAddr>, counters: std::rc::Rc<Counters>,
 ) {
     while hangups.recv().await.is_some() {
-        match Platform::read(&path) {
+        match read_replaced(&path).await {
             Ok(config) => {
                 add(&counters.reloads);
                 tracing::info!("reload: discovery is at {}; the rest needs a restart", config.discovery);
@@ -34,6 +42,20 @@
     }
 }
 
+/// Reads a configuration that may still be written, or that the system fails to open for a moment.
+async fn read_replaced(path: &Path) -> Result<Platform, ConfigError> {
+    let until = Instant::now() + REPLACED_WITHIN;
+    loop {
+        match Platform::read(path) {
+            Err(fault) if Instant::now() < until => {
+                tracing::warn!("reload: {fault}; reading again in {} ms", READ_AGAIN.as_millis());
+                sleep(READ_AGAIN).await;
+            }
+            read => return read,
+        }
+    }
+}
+
 /// Without the platform's front nothing is read again; SIGHUP is logged, for ever.
 pub async fn refuse(mut hangups: Signal) {
     while hangups.recv().await.is_some() {
