--- a/tests/common/peers.rs
+++ b/tests/common/peers.rs
@@ -3,6 +3,7 @@
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
 use super::program::{PATIENCE, Program, configured, file, port, target};
@@ -231,17 +232,30 @@
     }
 }
 
-/// Starts the program on a private set of addresses, told of these instances, with its settings changed by `settings`.
-pub fn start(base: &str, instances: &[&str], settings: &[(&str, &str)]) -> (Program, Discovery, Watch) {
-    let mut discovery = Discovery::start(base);
+/// The configuration of a program at these addresses, with its settings changed by `settings`.
+pub fn configuration(base: &str, settings: &[(&str, &str)]) -> PathBuf {
     let path = configured(base, 8_500);
     let mut text = std::fs::read_to_string(&path).expect("the file just written");
     for (old, new) in settings {
         assert!(text.contains(old), "no {old} in the settings");
         text = text.replace(old, new);
     }
-    let path = file(base, "config.json", &text);
-    let mut program = Program::start(base, &[], &[("LB_CONFIG", &path), ("RUST_LOG", "debug".as_ref())]);
+    file(base, "config.json", &text)
+}
+
+/// Starts the program on a private set of addresses, told of these instances, with its settings changed by `settings`.
+pub fn start(base: &str, instances: &[&str], settings: &[(&str, &str)]) -> (Program, Discovery, Watch) {
+    start_with(base, instances, settings, &[])
+}
+
+/// The same, with more variables for the program.
+pub fn start_with(
+    base: &str, instances: &[&str], settings: &[(&str, &str)], variables: &[(&str, &Path)],
+) -> (Program, Discovery, Watch) {
+    let mut discovery = Discovery::start(base);
+    let path = configuration(base, settings);
+    let usual: [(&str, &Path); 2] = [("LB_CONFIG", &path), ("RUST_LOG", "debug".as_ref())];
+    let mut program = Program::start(base, &[], &[&usual, variables].concat());
     let targets: Vec<_> = instances.iter().map(|name| target(base, name, "Ready")).collect();
     discovery.serves_list(&targets);
     let watch = discovery.opens_watch();
