Ask again at a start for what the system refuses for a moment, and listen last

Cause: a bind or an open that failed once ended the process, and the address was bound before the start's own work, so that clients could already connect and wait. Change: `listen` and `read_config` ask again each 50 ms for 15 s, where the fault may pass; a missing file still ends the start at once. The fronts listen when all else stands.

--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,7 @@
 //! The router: reads its configuration, starts its planners and fronts, and ends when told to.
 #![forbid(unsafe_code)]
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -23,28 +24,62 @@
 use tokio::signal::unix::Signal;
 use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep};
 use tracing_subscriber::filter::LevelFilter;
 
 /// How long a start waits for discovery before it serves by the list that it was given, which may be old.
 const DISCOVERY_WAIT: Duration = Duration::from_secs(5);
 
+/// For what the system refuses at a start to become possible; a start may take 30 s in all.
+const START_RETRIES: Duration = Duration::from_secs(15);
+/// Between tries of it.
+const START_RETRY_WAIT: Duration = Duration::from_millis(50);
+
 #[derive(Debug, thiserror::Error)]
 enum StartError {
     #[error("{0}")]
     Config(#[from] ConfigError),
     #[error("cannot listen on {0}: {1}")]
-    Listen(std::net::SocketAddr, std::io::Error),
+    Listen(SocketAddr, std::io::Error),
     #[error("{0}")]
     Io(#[from] std::io::Error),
     #[error("usage: croftsill [--chat FILE]")]
     Usage,
 }
 
+/// Listens on an address. What the system refuses for a moment it is asked for again: a router that restarts may find
+/// its address still taken, or the machine short of something.
+async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+    let until = Instant::now() + START_RETRIES;
+    loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => return Ok(listener),
+            Err(fault) if Instant::now() < until => {
+                tracing::warn!("start: cannot listen on {address} yet: {fault}");
+                sleep(START_RETRY_WAIT).await;
+            }
+            Err(fault) => return Err(StartError::Listen(address, fault)),
+        }
+    }
+}
+
+/// Reads a configuration, again where the system failed to read it for a moment.
+async fn read_config<T>(read: impl Fn() -> Result<T, ConfigError>) -> Result<T, StartError> {
+    let until = Instant::now() + START_RETRIES;
+    loop {
+        match read() {
+            Err(fault) if fault.may_pass() && Instant::now() < until => {
+                tracing::warn!("start: {fault}; reading again");
+                sleep(START_RETRY_WAIT).await;
+            }
+            read => return Ok(read?),
+        }
+    }
+}
+
 async fn start_platform(
     config: Platform, clock: Clock, counters: Rc<Counters>, shutdown: &Shutdown, replaced: (Signal, PathBuf),
 ) -> Result<(), StartError> {
-    let listener =
-        TcpListener::bind(config.listen).await.map_err(|fault| StartError::Listen(config.listen, fault))?;
     let pool = Rc::new(Pool::new(config.pool, counters.clone()));
     let (planner, orders) = Planner::start(config.settings.clone(), config.seed, clock);
     let upstream = Rc::new(Upstream::new(pool.clone(), Dialect::Platform, counters.clone()));
@@ -76,6 +111,8 @@
     });
     let intake = Intake::new(config.intake, config.body_bytes);
     let front = PlatformFront::new(core, (config.names, limits), intake.clone(), is_ready, shutdown.clone());
+    // Last: from now on clients connect, and their time runs.
+    let listener = listen(config.listen).await?;
     spawn_local(serve(listener, None, intake, shutdown.clone(), move |_| front.clone()));
     tracing::info!("{} listens on {}", config.name, config.listen);
     Ok(())
@@ -84,8 +121,6 @@
 async fn start_chat(
     mut config: Chat, clock: Clock, counters: Rc<Counters>, shutdown: &Shutdown,
 ) -> Result<(), StartError> {
-    let listener =
-        TcpListener::bind(config.listen).await.map_err(|fault| StartError::Listen(config.listen, fault))?;
     let seed = clock.now() as u64 ^ u64::from(std::process::id()) << 48;
     let pool = Rc::new(Pool::new(config.pool.clone(), counters.clone()));
     let (planner, orders) = Planner::start(config.settings.clone(), seed, clock);
@@ -102,11 +137,12 @@
         members.push(Member { host, ..Member::default() });
     }
     core.planner.hosts(true, members);
-    let (listen, tls) = (config.listen, config.tls.take());
+    let (address, tls) = (config.listen, config.tls.take());
     let intake = Intake::new(config.intake, config.body_bytes);
     let front = ChatFront::new(core, Rc::new(config), intake.clone(), shutdown.clone(), seed);
+    let listener = listen(address).await?;
     spawn_local(serve(listener, tls, intake, shutdown.clone(), move |peer| front.for_peer(peer)));
-    tracing::info!("chat front listens on {listen}");
+    tracing::info!("chat front listens on {address}");
     Ok(())
 }
 
@@ -125,9 +161,14 @@
     let hangups = reload::hangups()?;
     let ends = Signals::listen()?;
     let shutdown = Shutdown::default();
-    let chat = chat_file()?.map(|path| Chat::read(&path)).transpose()?;
-    let path = std::env::var_os("LB_CONFIG").map(PathBuf::from);
-    let platform = path.map(|path| Platform::read(&path).map(|config| (config, path))).transpose()?;
+    let chat = match chat_file()? {
+        Some(path) => Some(read_config(|| Chat::read(&path)).await?),
+        None => None,
+    };
+    let platform = match std::env::var_os("LB_CONFIG").map(PathBuf::from) {
+        Some(path) => Some((read_config(|| Platform::read(&path)).await?, path)),
+        None => None,
+    };
     if platform.is_none() && chat.is_none() {
         return Err(ConfigError::Nothing.into());
     }
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -1,6 +1,7 @@
 //! What a router is told at its start.
 
 use std::collections::BTreeMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
@@ -29,6 +30,14 @@
     Nothing,
 }
 
+impl ConfigError {
+    /// Whether the same file may be read in a moment: the system failed, not the file.
+    pub fn may_pass(&self) -> bool {
+        let lasting = [ErrorKind::NotFound, ErrorKind::PermissionDenied, ErrorKind::IsADirectory];
+        matches!(self, ConfigError::Read(_, fault) if !lasting.contains(&fault.kind()))
+    }
+}
+
 /// What the platform tells a router.
 pub struct Platform {
     /// Its name.
