--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -368,3 +368,54 @@
     assert!(late >= 50 && 3 * late >= 4 * early, "{early} in the first 3 s, {late} in 3 s from 6 s on");
     assert!(early <= 48, "{early} in the first 3 s: 0.3 to 0.51 of 20 a second, times 3 and a half");
 }
+
+/// A request whose first decode server may have run it and has left the list since, and whose second one could not be
+/// reached: what the router does then.
+fn after_the_first_server_left(group: Group) -> Vec<Action> {
+    let members = [member(PREFILL, 0), member(DECODE, 1), member(11, 1), member(12, 1)];
+    let mut rig = Rig::new(with_effect(Effect::Keyed(group, 5 * S)), &members);
+    rig.request(1);
+    let first = sent_to(&rig.end(1, PREFILL, Outcome::Read)).expect("sent on");
+    let second = sent_to(&rig.end(1, first, Outcome::Broken)).expect("a repeat in the group");
+    let gone = members.iter().find(|m| m.host.0 == first).expect("a member");
+    let gone = Member { phase: Phase::Gone, ..gone.clone() };
+    rig.step(0, &[Event::Hosts { whole: false, members: vec![gone] }]);
+    rig.end(1, second, Outcome::Unreachable)
+}
+
+#[test]
+fn rule_2_a_keyed_request_is_repeated_in_its_group_though_its_first_server_left_the_list() {
+    for group in [Group::All, Group::Zone, Group::Cell] {
+        let out = after_the_first_server_left(group);
+        assert!(sent_to(&out).is_some(), "{group:?}: {out:?}");
+    }
+}
+
+#[test]
+fn a_server_that_took_long_to_say_that_it_is_full_is_tried_again_within_seconds() {
+    let mut rig = Rig::new(settings(), &[member(PREFILL, 0), member(DECODE, 1)]);
+    rig.request(1);
+    let Event::Ended { request, attempt, host, outcome, last, kept, load, .. } =
+        ended(1, PREFILL, Outcome::Full, false)
+    else {
+        panic!("an end of an attempt")
+    };
+    let slow = Event::Ended { request, attempt, host, outcome, last, kept, took: 2 * S, load };
+    rig.step(2 * S, &[slow]);
+    rig.step(3 * S, &[]);
+    assert_eq!(sent_to(&rig.request(2)), Some(PREFILL));
+}
+
+#[test]
+fn rule_5_a_reset_that_follows_a_send_at_once_does_not_lengthen_the_time_of_what_is_held() {
+    let mut rig = Rig::new(settings(), &[member(PREFILL, 0), member(DECODE, 1)]);
+    rig.request(1);
+    let mut out = rig.end(1, PREFILL, Outcome::Read);
+    let read_at = rig.now;
+    while !out.contains(&Action::Release(RequestId(1))) {
+        let reset = sent_to(&out).map(|host| ended(1, host, Outcome::Broken, false));
+        out = rig.step(5 * MS, reset.as_slice());
+        let held = rig.now - read_at;
+        assert!(held <= 500 * MS, "held for {held} us, of which nearly none with an attempt out");
+    }
+}
