Remember the zone and cell of a first run, not the server that may leave the list

Cause: `may_run_at` looked the first server up in the list of hosts, and without it no host passed, though the group was all, its zone or its cell. Change: `FirstRun` keeps its zone and cell.

--- a/src/logic/attempts.rs
+++ b/src/logic/attempts.rs
@@ -21,8 +21,8 @@
     /// Until when an attempt may begin that could repeat a keyed effect; none where any time will do.
     fn repeats_until(&self, set: &Settings) -> Option<Micros> {
         let effect = set.classes[self.ask.class.0].effect;
-        let (Effect::Keyed(_, window), Some((_, since))) = (effect, self.may_have_run) else { return None };
-        Some(since + window - REPEAT_MARGIN)
+        let (Effect::Keyed(_, window), Some(first)) = (effect, self.may_have_run) else { return None };
+        Some(first.since + window - REPEAT_MARGIN)
     }
 }
 
@@ -122,7 +122,8 @@
                 if let Some(prefill) = r.prefill.filter(|_| stuck).and_then(|id| self.hosts.get_mut(&id)) {
                     prefill.stuck_until = now + STUCK_REST;
                 }
-                r.may_have_run = r.may_have_run.or(ran.then_some((at, sent_at)));
+                let place = self.hosts.get(&at).map(|h| (h.zone, h.cell));
+                r.may_have_run = r.may_have_run.or(ran.then_some(FirstRun { place, since: sent_at }));
                 if r.prefill.is_none() || outcome == Outcome::Malformed || stuck {
                     // An answer had begun, so the state has moved. Or nobody can fetch it where it is.
                     out.push(Action::Release(id));
@@ -172,14 +173,16 @@
 
     /// Rule 2: whether an attempt there, also a read, could not repeat an effect.
     pub(super) fn may_run_at(&self, now: Micros, r: &Request, at: HostId) -> bool {
-        let Some((ran_at, _)) = r.may_have_run else { return true };
+        let Some(first) = r.may_have_run else { return true };
         let group = match self.set.classes[r.ask.class.0].effect {
             Effect::Safe => return true,
             Effect::Keyed(group, _) if r.repeats_until(&self.set).is_some_and(|until| now < until) => group,
             _ => return false,
         };
-        let (Some(a), Some(b)) = (self.hosts.get(&ran_at), self.hosts.get(&at)) else { return false };
-        group == Group::All || a.cell == b.cell || (group == Group::Zone && a.zone == b.zone)
+        let (Some((zone, cell)), Some(host)) = (first.place, self.hosts.get(&at)) else {
+            return group == Group::All;
+        };
+        group == Group::All || cell == host.cell || (group == Group::Zone && zone == host.zone)
     }
 
     pub(super) fn may_run_anywhere(&self, now: Micros, id: RequestId) -> bool {
--- a/src/logic/mod.rs
+++ b/src/logic/mod.rs
@@ -118,6 +118,13 @@
     Streaming,
 }
 
+/// Where and since when an attempt may have had its effect. The host may leave the list; its group stays.
+#[derive(Clone, Copy)]
+struct FirstRun {
+    place: Option<(ZoneId, CellId)>,
+    since: Micros,
+}
+
 #[derive(Default)]
 struct Request {
     ask: NewRequest,
@@ -147,7 +154,7 @@
     silent: Option<CellId>,
     stuck: u32,
     /// The first attempt that may have had its effect.
-    may_have_run: Option<(HostId, Micros)>,
+    may_have_run: Option<FirstRun>,
     over_share: bool,
     /// Ended for the client; only an outcome is still awaited.
     ended: bool,
