Bound the rest of a server that says it is full at two seconds

Cause: the rest is 20 times what the refusal took, without limit: 40 s after one that took 2 s, as during a jam. Change: FULL_REST_MOST, 2 s, as long as the longest rest after failures.

--- a/src/logic/attempts.rs
+++ b/src/logic/attempts.rs
@@ -8,7 +8,8 @@
 const STUCK_REST: Micros = 4_000_000; // ...and so long nothing is read there: a jammed link drains slowly
 const MALFORMED_MOST: u32 = 2; // answers in a row that cannot be read before the next counts as a failure
 const FULL_REST: Micros = 100_000; // for which a host that said "full" is left alone, at least...
-const FULL_MULTIPLE: Micros = 20; // ...and of the time that it took to say so
+const FULL_MULTIPLE: Micros = 20; // ...and of the time that it took to say so...
+const FULL_REST_MOST: Micros = 2_000_000; // ...up to this: room comes back sooner than a jam is forgotten
 const AVOID: Micros = 100_000; // for which a host that could not be sent to from here is not tried again
 const REPEAT_MARGIN: Micros = 100_000; // of a repeat's window: a handshake and the way to the instance
 
@@ -86,7 +87,8 @@
             Outcome::Read => self.was_read(now, id, at, kept, took),
             Outcome::Full => {
                 // Perhaps for this class or tenant alone. The longer it took to say so, the longer the rest.
-                let until = now.saturating_add(FULL_REST.max(took.saturating_mul(FULL_MULTIPLE)));
+                let rest = took.saturating_mul(FULL_MULTIPLE).clamp(FULL_REST, FULL_REST_MOST);
+                let until = now.saturating_add(rest);
                 let key = self.requests.get(&id).map(|r| ((r.ask.class, r.ask.tenant), until));
                 self.hosts.entry(at).and_modify(|h| h.full_until.extend(key));
             }
