Let the time of what is held run on through a reset

Cause: any outcome but a failed connection set the clock of a waiting state anew, also a reset at once, as of a connection that the server had closed or forgotten; such a call never arrived. Change: only an answer or a time-out counts as a sign that the call arrived.

--- a/src/logic/attempts.rs
+++ b/src/logic/attempts.rs
@@ -131,9 +131,9 @@
                     out.push(Action::Release(id));
                     self.hold(id);
                 } else {
-                    // While a connection does not come up no attempt is out: the state waited all along.
-                    let waited = matches!(outcome, Outcome::Unreachable | Outcome::NotSent);
-                    let since = if waited { r.ready_since } else { now };
+                    // Without a sign that the call arrived no attempt was out: the state waited all along.
+                    let arrived = matches!(outcome, Outcome::Full | Outcome::Error | Outcome::TimedOut);
+                    let since = if arrived { now } else { r.ready_since };
                     (r.stage, r.ready_since) = (Stage::Ready, since);
                 }
             }
