--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -369,6 +369,54 @@
     assert!(early <= 48, "{early} in the first 3 s: 0.3 to 0.51 of 20 a second, times 3 and a half");
 }
 
+/// Starts a fleet of routers at once, with one request a second each, that hear in their first list of a decode server
+/// that has just started, and by probes that it is the one with most room; gives when it was sent something.
+fn sends_to_a_cold_server_of_a_fleet_that_starts(routers: u64, first: impl Fn(u64) -> Micros) -> Vec<Micros> {
+    let cold = Member { started: Some(100 * S), ..member(10, 1) };
+    let members: Vec<_> =
+        [member(PREFILL, 0), cold].into_iter().chain((11..18).map(|h| member(h, 1))).collect();
+    let told = |host: u32| {
+        let load = Load { memory: Some(if host == 10 { 0.0 } else { 0.6 }), ..Load::default() };
+        Event::Probed { host: HostId(host), outcome: Outcome::Served, load: Some(load) }
+    };
+    let mut sends = Vec::new();
+    for router in 0..routers {
+        let mut rig = Rig { router: croftsill::Router::new(settings(), router), now: 100 * S };
+        rig.step(0, &[Event::Hosts { whole: true, members: members.clone() }]);
+        for n in 0..10 {
+            let id = router * 1000 + n;
+            rig.now = 100 * S + first(router) + n as Micros * S;
+            rig.step(0, &(10..18).map(told).collect::<Vec<_>>());
+            rig.step(0, &[Event::Request(NewRequest { prefix: Some(TextKey(id)), ..ask(id) })]);
+            let out = rig.end(id, PREFILL, Outcome::Read);
+            let Some(decode) = sent_to(&out) else { continue };
+            if decode == 10 {
+                sends.push(rig.now);
+            }
+            rig.step(0, &[began(id, decode), ended(id, decode, Outcome::Served, true)]);
+        }
+    }
+    sends
+}
+
+#[test]
+fn rule_4_a_fleet_of_routers_that_start_together_spares_a_server_that_started_with_them() {
+    for routers in [100, 400] {
+        let sends = sends_to_a_cold_server_of_a_fleet_that_starts(routers, |router| {
+            (router * 997 % 1_000) as Micros * MS
+        });
+        for second in 100..110 {
+            let got = sends.iter().filter(|&&at| (second * S..(second + 1) * S).contains(&at)).count() as f64;
+            // Its part of the requests, as if it could do just those, times the multiple that it bears.
+            let warmth = 0.3 + 0.7 * (second - 100) as f64 / 10.0;
+            let bears = routers as f64 / 8.0 * 3.0 * warmth;
+            let most = bears + 2.0 * bears.sqrt() + 2.0;
+            assert!(got <= most, "{got} sends of {routers} routers in second {second}, {most} are allowed");
+        }
+        assert!(sends.len() >= routers as usize / 2, "{} sends: it is used", sends.len());
+    }
+}
+
 /// A request whose first decode server may have run it and has left the list since, and whose second one could not be
 /// reached: what the router does then.
 fn after_the_first_server_left(group: Group) -> Vec<Action> {
