Earn the sends to cold servers as requests come in, with a random part saved

Cause: the first send to a cold server was put off by chance in proportion to the router's own rate, which is zero before its first request: the division by it let a router that had just started send at once to any cold server, and rooms draw all of them to the same one. The budget was also the rate of now times all the time unused, so that a burst earned at every router for the time before it. Change: sends are earned per running host as requests come in, and each start of a server gives a router a random part of one send. Running hosts are counted once a list instead of once a look.

--- a/src/logic/attempts.rs
+++ b/src/logic/attempts.rs
@@ -51,8 +51,8 @@
         } else {
             host.pending.insert(id, now);
         }
-        host.unused_since = now;
         let start_within = r.repeats_until(&self.set).map(|until| until - now);
+        self.use_slow_start(now, to, 0.0);
         out.push(Action::Send { request: id, host: to, time_out: time_out.max(1), start_within });
     }
 
--- a/src/logic/hosts.rs
+++ b/src/logic/hosts.rs
@@ -42,6 +42,7 @@
         }
         // What is gone is forgotten once nothing is out there: a long day brings ever new hosts.
         self.hosts.retain(|_, h| h.phase != Phase::Gone || !h.streams.is_empty() || !h.pending.is_empty());
+        self.serving = (self.serving(true).count(), self.serving(false).count());
         self.update_cell_shares();
     }
 
@@ -84,7 +85,7 @@
     pub(super) fn own_rate(&self, now: Micros, prefill: bool) -> f64 {
         let seen = 1.0 - 0.5f64.powf((now - self.since.unwrap_or(now)) as f64 / FADE);
         let rate = self.arrivals.get(now, 0.0) / seen.max(SEEN_LEAST) / FADE;
-        rate / self.serving(prefill).count().max(1) as f64
+        rate / (if prefill { self.serving.0 } else { self.serving.1 }).max(1) as f64
     }
 
     /// Whether own requests bring reports from each such host as often as these are made anew.
--- a/src/logic/mod.rs
+++ b/src/logic/mod.rs
@@ -77,8 +77,7 @@
     failed_at: Micros,
     rest_until: Micros,
     full_until: BTreeMap<(ClassId, Option<TenantId>), Micros>,
-    /// In slow start: since when this router's part of what the host bears has not been used.
-    unused_since: Micros,
+    slow_start: slow_start::SlowStart,
     probe_at: Micros,
     /// Attempts without a first answer, by the time they were sent.
     pending: BTreeMap<RequestId, Micros>,
@@ -182,6 +181,9 @@
     others: f64,
     kept_share: [f64; PREFERRED],
     salt: u64,
+    /// Running prefill hosts and others, by the list.
+    serving: (usize, usize),
+    earned: slow_start::Earned,
     /// First tries, counted since the first look at the clock.
     arrivals: Fading,
     since: Option<Micros>,
@@ -209,6 +211,7 @@
     /// Takes in what happened and says what to do, in order.
     pub fn handle(&mut self, now: Micros, events: &[Event], out: &mut Vec<Action>) {
         self.since.get_or_insert(now);
+        self.earn(now);
         events.iter().for_each(|event| self.take(now, event, out));
         self.follow(now, out);
         self.send_ready(now, out);
--- a/src/logic/slow_start.rs
+++ b/src/logic/slow_start.rs
@@ -17,21 +17,58 @@
     }
 }
 
+/// What of a cold host's capacity this router has not used.
+#[derive(Clone, Copy, Default)]
+pub(super) struct SlowStart {
+    /// Since when, and the router's mark of earned sends at that moment.
+    since: Micros,
+    mark: f64,
+    /// Sends that were saved up before.
+    saved: f64,
+}
+
+/// Sends that this router has earned at each running host, of prefill and of decode hosts, by what came in.
+#[derive(Clone, Copy, Default)]
+pub(super) struct Earned {
+    at: Micros,
+    prefill: f64,
+    decode: f64,
+}
+
+impl Earned {
+    fn of(&self, role: Role) -> f64 {
+        if role == Role::Prefill { self.prefill } else { self.decode }
+    }
+}
+
 impl Router {
+    /// Counts what this router has earned since the last time, at the rate of now: what comes in later, as in a
+    /// burst that all routers see at once, earns nothing for the time before.
+    pub(super) fn earn(&mut self, now: Micros) {
+        let passed = (now - self.earned.at).max(0) as f64;
+        let (prefill, decode) = (self.own_rate(now, true) * passed, self.own_rate(now, false) * passed);
+        let Earned { prefill: before_prefill, decode: before_decode, .. } = self.earned;
+        self.earned = Earned { at: now, prefill: before_prefill + prefill, decode: before_decode + decode };
+    }
+
     /// Rule 4, slow start: own sends that a cold host bears since the last: this router's part of what it can
     /// do, which grows, by what comes in: what goes there shrinks with this guard.
     pub(super) fn slow_start_budget(&self, now: Micros, host: &Host) -> f64 {
-        let (rules, unused) = (&self.set.rules, (now - host.unused_since) as f64);
-        let warmth = host.warmth(now - (unused / 2.0) as Micros, rules);
-        let own = unused * self.own_rate(now, host.role == Role::Prefill);
-        own * rules.fall_multiple * warmth * SLOW_START_SHARE
+        let (rules, part) = (&self.set.rules, host.slow_start);
+        let warmth = host.warmth(now - (now - part.since) / 2, rules);
+        let earned = self.earned.of(host.role) - part.mark;
+        part.saved + earned * rules.fall_multiple * warmth * SLOW_START_SHARE
+    }
+
+    /// What a cold host bears has been used: the next send must be earned anew.
+    pub(super) fn use_slow_start(&mut self, now: Micros, to: HostId, saved: f64) {
+        let Some(host) = self.hosts.get_mut(&to) else { return };
+        host.slow_start = SlowStart { since: now, mark: self.earned.of(host.role), saved };
     }
 
-    /// Puts the first send to a cold host off by chance, as all routers hear of a start at once.
+    /// Puts the first send to a cold host off by chance, as all routers hear of a start at once: each has a random part
+    /// of a send saved, also one that has started itself and seen no request yet.
     pub(super) fn start_slowly(&mut self, now: Micros, to: HostId) {
-        let prefill = self.hosts.get(&to).is_some_and(|h| h.role == Role::Prefill);
-        let part = self.own_rate(now, prefill) * self.set.rules.fall_multiple * self.set.rules.start_capacity;
-        let used = (chance(to.0, now as u64 ^ self.salt) / (part * SLOW_START_SHARE).max(1e-9)) as Micros;
-        self.hosts.entry(to).and_modify(|h| h.unused_since = now - used);
+        self.use_slow_start(now, to, chance(to.0, now as u64 ^ self.salt));
     }
 }
