--- a/tests/common/peers.rs
+++ b/tests/common/peers.rs
@@ -11,6 +11,9 @@
 /// Between looks for a connection that has not been made yet.
 const LOOK_AGAIN: Duration = Duration::from_millis(2);
 
+/// Longer than a program reads on or waits after it has ended a connection.
+const RESET_WITHIN: Duration = Duration::from_secs(6);
+
 /// One end of a connection.
 pub struct Connection {
     socket: TcpStream,
@@ -110,6 +113,19 @@
         String::from_utf8_lossy(&std::mem::take(&mut self.unread)).into_owned()
     }
 
+    /// Whether the connection, which the peer has ended, is reset in the end: it is where the peer closes it over bytes
+    /// that it has not read, and not where it has read all. Gives up after a while.
+    pub fn is_reset(&mut self) -> bool {
+        let until = Instant::now() + RESET_WITHIN;
+        while Instant::now() < until {
+            match self.socket.read(&mut [0; 64]) {
+                Err(fault) if fault.kind() == ErrorKind::ConnectionReset => return true,
+                _ => std::thread::sleep(LOOK_AGAIN),
+            }
+        }
+        false
+    }
+
     /// Closes both directions.
     pub fn close(self) {
         let _ = self.socket.shutdown(Shutdown::Both);
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::peers::{
     Connection, Discovery, END, Listener, READ, STREAM, Watch, client, list, request, start,
 };
@@ -359,3 +361,64 @@
     slow.close();
     program.end();
 }
+
+/// Events of a stream that together are far more than what the system and the program hold for a client.
+const LARGE_EVENTS: usize = 600;
+/// What each of them holds, in bytes.
+const LARGE_EVENT: usize = 32_768;
+
+#[test]
+fn a_client_that_pauses_longer_than_a_server_may_be_silent_still_gets_the_whole_stream() {
+    let peers = Peers::start(&[]);
+    let mut slow = peers.client();
+    slow.send(&request("l1", "climb-query", 6_000));
+    let _prefill = prefill(&peers.prefills, "l1");
+    let mut stream = decode(&peers.decodes, "l1");
+    slow.reads_until("data: {\"n\":1}\n\n");
+    let writer = std::thread::spawn(move || {
+        let event = format!("data: {}\n\n", "x".repeat(LARGE_EVENT - 8));
+        for _ in 0..LARGE_EVENTS {
+            stream.send(&format!("{:x}\r\n{event}\r\n", event.len()));
+        }
+        stream.send(END);
+        stream
+    });
+    // A server that says nothing for 4.3 s is taken for dead; this one waits for the client all that time.
+    std::thread::sleep(Duration::from_millis(5_500));
+    let text = slow.reads_until("data: [DONE]\n\n");
+    assert_eq!(text.matches("data: x").count(), LARGE_EVENTS);
+    slow.reads_until("0\r\n\r\n");
+    drop(writer.join().expect("all is written"));
+    peers.program.end();
+}
+
+#[test]
+fn a_request_that_crosses_the_close_of_an_idle_connection_is_left_unread() {
+    let peers = Peers::start(&[]);
+    let mut idle = peers.client();
+    idle.send("GET /-/ready HTTP/1.1\r\nHost: app.svc\r\n\r\n");
+    idle.message();
+    // It has stood idle, and is closed.
+    assert_eq!(idle.rest(), "");
+    idle.send_into_the_close(&request("x1", "climb-query", 6_000));
+    assert!(idle.is_reset(), "its request was read past");
+    peers.program.end();
+}
+
+#[test]
+fn a_request_that_crosses_the_close_after_a_last_answer_is_left_unread() {
+    let mut peers = Peers::start(&[]);
+    let mut last = peers.client();
+    last.send(&request("y1", "climb-query", 6_000));
+    let _prefill = prefill(&peers.prefills, "y1");
+    let mut stream = decode(&peers.decodes, "y1");
+    last.reads_until("data: {\"n\":1}\n\n");
+    peers.program.signal("TERM");
+    peers.program.logs("shutdown: begun");
+    stream.send(END);
+    last.reads_until("0\r\n\r\n");
+    last.send_into_the_close(&request("y2", "climb-query", 6_000));
+    assert!(last.is_reset(), "its request was read past");
+    last.close();
+    peers.program.ended(true);
+}
