Count a server's silence only while its stream is waited for

Cause: the silence that ends a stream ran from its last event, also while a slow client kept the router from reading; after a pause of 4.3 s the next read timed out at once, and the server's connections were dropped too. Change: each wait for the next event has its own 4.3 s.

--- a/src/node/events.rs
+++ b/src/node/events.rs
@@ -47,7 +47,6 @@
     form: Form,
     ready: Option<Bytes>,
     framer: Option<Framer>,
-    heard: Instant,
     ended: bool,
 }
 
@@ -59,8 +58,7 @@
     ) -> Self {
         let form = Form { status, content_type: head.get(CONTENT_TYPE).cloned() };
         let framer = form.streamed().then(|| Framer { chat, ..Framer::default() });
-        let (heard, connection) = (Instant::now(), Some(connection));
-        Events { pool, host, connection, body, form, ready: None, framer, heard, ended: false }
+        Events { pool, host, connection: Some(connection), body, form, ready: None, framer, ended: false }
     }
 
     /// Waits for the first event. An answer that breaks, ends, is malformed or tells an error before it has not begun.
@@ -98,11 +96,13 @@
     }
 
     async fn read(&mut self) -> Option<Result<Bytes, StreamBroken>> {
+        // Silence is what is waited for here: while a client is slow to read, nobody listens to the instance.
+        let listens_until = Instant::now() + SILENCE;
         loop {
             if self.ended {
                 return None;
             }
-            match timeout_at(self.heard + SILENCE, self.body.frame()).await {
+            match timeout_at(listens_until, self.body.frame()).await {
                 Ok(Some(Ok(frame))) => {
                     // Trailers tell nothing that is passed on.
                     let Some(bytes) = frame.into_data().ok().filter(|b| !b.is_empty()) else { continue };
@@ -112,10 +112,7 @@
                     };
                     match whole {
                         Ok(bytes) if bytes.is_empty() => {}
-                        Ok(bytes) => {
-                            self.heard = Instant::now();
-                            return Some(Ok(bytes));
-                        }
+                        Ok(bytes) => return Some(Ok(bytes)),
                         Err(Malformed) => return self.broke(StreamBroken::Malformed),
                     }
                 }
--- a/tests/common/peers.rs
+++ b/tests/common/peers.rs
@@ -73,17 +73,24 @@
 
     /// Reads until the text has come, and takes all up to its end.
     pub fn reads_until(&mut self, text: &str) -> String {
+        let mut searched = 0;
         loop {
-            let end = self.unread.windows(text.len()).position(|window| window == text.as_bytes());
+            let new = &self.unread[searched..];
+            let end = new.windows(text.len()).position(|window| window == text.as_bytes());
             if let Some(at) = end {
-                let taken = self.unread.drain(..at + text.len()).collect();
+                let taken = self.unread.drain(..searched + at + text.len()).collect();
                 return String::from_utf8(taken).expect("plain text");
             }
-            let found = String::from_utf8_lossy(&self.unread).into_owned();
-            assert!(self.read_more(), "no {text:?} before the end in {found:?}");
+            searched = self.unread.len().saturating_sub(text.len());
+            assert!(self.read_more(), "no {text:?} before the end in {:?}", self.shown());
         }
     }
 
+    /// The beginning of what is unread, for messages.
+    fn shown(&self) -> String {
+        String::from_utf8_lossy(&self.unread[..self.unread.len().min(1_000)]).into_owned()
+    }
+
     /// Reads one message: a head, and a body of the length that it tells.
     pub fn message(&mut self) -> Message {
         let head = self.reads_until("\r\n\r\n");
