--- a/tests/common/peers.rs
+++ b/tests/common/peers.rs
@@ -11,6 +11,8 @@
 /// Between looks for a connection that has not been made yet.
 const LOOK_AGAIN: Duration = Duration::from_millis(2);
 
+/// For a connection that may or may not be made.
+const SOON: Duration = Duration::from_millis(20);
 /// Within which a closed socket answers; a program that reads on after its last answer does so for longer.
 const REFUSED_WITHIN: Duration = Duration::from_secs(1);
 
@@ -103,6 +105,16 @@
         message
     }
 
+    /// A message without a body, or none if the connection ends before it has come.
+    pub fn message_or_end(&mut self) -> Option<Message> {
+        while !self.unread.windows(4).any(|window| window == b"\r\n\r\n") {
+            if !self.read_more() {
+                return None;
+            }
+        }
+        Some(self.message())
+    }
+
     /// All that comes until the peer ends the connection in good order.
     pub fn rest(&mut self) -> String {
         let mut buffer = [0; 16_384];
@@ -176,17 +188,26 @@
 
     /// The next connection that is made to any of these, and to which.
     pub fn accept_any(listeners: &[&Listener]) -> (usize, Connection) {
-        let until = Instant::now() + PATIENCE;
+        Listener::accept_within(listeners, PATIENCE).expect("somebody connects")
+    }
+
+    /// The next connection to any of these, if one is made soon.
+    pub fn accept_soon(listeners: &[&Listener]) -> Option<Connection> {
+        Listener::accept_within(listeners, SOON).map(|(_, connection)| connection)
+    }
+
+    fn accept_within(listeners: &[&Listener], patience: Duration) -> Option<(usize, Connection)> {
+        let until = Instant::now() + patience;
         while Instant::now() < until {
             for (at, listener) in listeners.iter().enumerate() {
                 if let Ok((socket, _)) = listener.0.accept() {
                     socket.set_nonblocking(false).expect("a socket that is open");
-                    return (at, Connection::new(socket));
+                    return Some((at, Connection::new(socket)));
                 }
             }
             std::thread::sleep(LOOK_AGAIN);
         }
-        panic!("nobody connects");
+        None
     }
 
     /// The clients' requests that have come on connections beyond those accepted, once the program has ended.
--- a/tests/common/program.rs
+++ b/tests/common/program.rs
@@ -18,6 +18,7 @@
     seen: Vec<String>,
     base: String,
     dir: PathBuf,
+    started: Instant,
 }
 
 /// A prefix of loopback addresses that no other test uses.
@@ -37,7 +38,7 @@
         let (sender, log) = channel();
         let lines = BufReader::new(child.stderr.take().expect("its log")).lines();
         std::thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| sender.send(line)));
-        Program { child, log, seen: Vec::new(), base: base.to_owned(), dir }
+        Program { child, log, seen: Vec::new(), base: base.to_owned(), dir, started: Instant::now() }
     }
 
     /// Waits for a line of the log.
@@ -49,6 +50,14 @@
         }
     }
 
+    /// Whether no such line has come in the log yet; fails when none has come for far too long.
+    pub fn has_not_logged(&mut self, part: &str) -> bool {
+        self.seen.extend(self.log.try_iter());
+        let logged = self.seen.iter().any(|line| line.contains(part));
+        assert!(logged || self.started.elapsed() < PATIENCE, "no \"{part}\" in {:#?}", self.seen);
+        !logged
+    }
+
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         let killed = Command::new("kill").args([&format!("-{name}"), &pid]).status().expect("kill runs");
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -100,6 +100,31 @@
     peers.program.ended(true);
 }
 
+#[test]
+fn a_request_that_comes_late_in_a_shutdown_is_refused() {
+    let mut peers = Peers::start(&[]);
+    let mut open = peers.client();
+    open.send(&request("o1", "climb-query", 6_000));
+    let _prefill = prefill(&peers.prefills, "o1");
+    let mut stream = decode(&peers.decodes, "o1");
+    open.reads_until("data: {\"n\":1}\n\n");
+    let mut late = peers.client();
+    peers.program.signal("TERM");
+    peers.program.logs("shutdown: begun");
+    // What comes over 0.7 s behind the signal may still be under way when the process is killed.
+    std::thread::sleep(Duration::from_millis(800));
+    late.send(&request("o2", "climb-query", 6_000));
+    let answer = late.message();
+    assert!(answer.head.starts_with("HTTP/1.1 429"), "{answer:?}");
+    assert!(answer.header("retry-after").is_some(), "{answer:?}");
+    stream.send(END);
+    open.reads_until("0\r\n\r\n");
+    open.close();
+    late.close();
+    let log = peers.program.ended(true);
+    assert!(log.contains("\"taken\":1,"), "{log}");
+}
+
 #[test]
 fn a_request_whose_head_is_half_read_at_sigterm_is_answered() {
     let mut peers = Peers::start(&[]);
