Ask further servers beside silent ones until a release has been taken

Cause: a release asked six servers for 80 ms each, one after another, and gave up for good; with most of a role silent what was held stayed held. Change: beside a silent server the next one is asked each 80 ms, all of them again after a round, for 3 s; the calls are one JoinSet, dropped with the release.

--- a/src/node/release.rs
+++ b/src/node/release.rs
@@ -1,29 +1,77 @@
 //! Letting go of what is held for a request at the instances.
 
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::time::timeout;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep_until, timeout};
 
 use super::attempt::Upstream;
 use super::counters::add;
+use crate::api::HostId;
 
-/// For an instance to take the call. The module has used most of the pin limit when it asks, so a silent
-/// instance must not use up the rest.
+/// For an instance to take the call before another one is asked beside it. The module has used most of the pin limit
+/// when it asks, so a silent instance must not use up the rest.
 const EACH: Duration = Duration::from_millis(80);
-/// Instances asked, one after the other.
-const TRIES: usize = 6;
+/// For an instance to take the call at all.
+const CALL: Duration = Duration::from_millis(400);
+/// After which a release is given up: what is held has been held far too long by then.
+const GIVEN_UP: Duration = Duration::from_secs(3);
 
-/// Releases all that is held for the request. Any instance takes the call; one that cannot be reached or stays
-/// silent is passed over for the next.
+/// The calls of one release. Dropping them closes their connections.
+struct Calls {
+    upstream: Rc<Upstream>,
+    id: Rc<str>,
+    open: JoinSet<(HostId, bool)>,
+    to_ask: VecDeque<HostId>,
+}
+
+impl Calls {
+    /// Asks the next instance, the likeliest to answer first; all of them again once each has been asked.
+    fn ask_next(&mut self) {
+        if self.to_ask.is_empty() {
+            self.to_ask = self.upstream.pool().likeliest().into();
+        }
+        let Some(host) = self.to_ask.pop_front() else { return };
+        let (upstream, id) = (self.upstream.clone(), self.id.clone());
+        self.open.spawn_local(async move {
+            let taken = timeout(CALL, upstream.release_at(host, &id)).await.unwrap_or(false);
+            if !taken {
+                upstream.pool().distrust(host);
+            }
+            (host, taken)
+        });
+    }
+
+    /// Waits until an instance has taken the call, or has failed to; none if all are still open.
+    async fn ended(&mut self, until: Instant) -> Option<(HostId, bool)> {
+        tokio::select! {
+            Some(ended) = self.open.join_next() => ended.ok(),
+            () = sleep_until(until) => None,
+        }
+    }
+}
+
+/// Releases all that is held for the request. Any instance takes the call; one that cannot be reached is passed over,
+/// and beside one that is silent the next is asked.
 pub async fn release(upstream: Rc<Upstream>, id: Rc<str>) {
-    for host in upstream.pool().likeliest().into_iter().take(TRIES) {
-        if let Ok(true) = timeout(EACH, upstream.release_at(host, &id)).await {
-            tracing::debug!("request {id}: released at host {}", host.0);
-            return add(&upstream.counters().releases);
+    let until = Instant::now() + GIVEN_UP;
+    let mut calls = Calls { upstream, id, open: JoinSet::new(), to_ask: VecDeque::new() };
+    while Instant::now() < until {
+        calls.ask_next();
+        let next = Instant::now() + EACH;
+        while let Some((host, taken)) = calls.ended(next).await {
+            if taken {
+                tracing::debug!("request {}: released at host {}", calls.id, host.0);
+                return add(&calls.upstream.counters().releases);
+            }
+            // Nobody is asked just now: the next one is at once, but for a pause between two rounds.
+            if calls.open.is_empty() && !calls.to_ask.is_empty() {
+                break;
+            }
         }
-        upstream.pool().distrust(host);
     }
-    add(&upstream.counters().releases_lost);
-    tracing::warn!("release: no instance took the release of {id}");
+    add(&calls.upstream.counters().releases_lost);
+    tracing::warn!("release: no instance took the release of {}", calls.id);
 }
