Refuse requests that come over 0.6 s after the signal to end

Cause: requests were taken until the process ended; one that comes over 0.7 s after SIGTERM and is under way at SIGKILL is lost, and SIGKILL may come as soon as its deadline has passed. Change: both fronts refuse from 0.6 s on, with Retry-After where the settings allow it.

--- a/src/node/front/chat.rs
+++ b/src/node/front/chat.rs
@@ -15,7 +15,7 @@
 use super::client_state::Arrival;
 use super::intake::Intake;
 use super::spiffe::Peer;
-use super::{Front, Pieces, Reply, begin, set_retry_after, shed_wait};
+use super::{Front, Pieces, Reply, begin, set_retry_after, shed_wait, takes_nothing_new};
 use crate::api::*;
 use crate::node::Core;
 use crate::node::attempt::{IDEMPOTENCY_KEY, Payload};
@@ -221,7 +221,7 @@
         let retries = request.headers().get(RETRY_COUNT).and_then(|v| v.to_str().ok()?.parse::<u32>().ok());
         ask.again = retries.is_some_and(|n| n > 0);
         ask.time_left -= arrived.elapsed().as_micros() as Micros;
-        if self.intake.crowded() {
+        if takes_nothing_new(&self.intake, &self.shutdown) {
             return Err(self.shed());
         }
         let id = self.new_id();
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -46,6 +46,12 @@
     limits.come_back.map(|longest| longest.min(SHED_WAIT))
 }
 
+/// Whether a request that has just been read must be refused: more clients are connected than are served, or the process
+/// is about to end.
+fn takes_nothing_new(intake: &Intake, shutdown: &Shutdown) -> bool {
+    intake.crowded() || shutdown.refuses()
+}
+
 /// Tells a client when to come back, in seconds, if it is to be told at all.
 fn set_retry_after(headers: &mut HeaderMap, come_back: Option<Micros>) {
     let seconds = come_back.map(|micros| (micros as f64 / 1e6).to_string());
--- a/src/node/front/platform.rs
+++ b/src/node/front/platform.rs
@@ -15,7 +15,7 @@
 use super::body::{BodyError, read_body};
 use super::client_state::Arrival;
 use super::intake::Intake;
-use super::{Front, Pieces, Reply, begin, set_retry_after, shed_wait};
+use super::{Front, Pieces, Reply, begin, set_retry_after, shed_wait, takes_nothing_new};
 use crate::api::*;
 use crate::node::Core;
 use crate::node::attempt::{IDEMPOTENCY_KEY, Payload};
@@ -177,7 +177,7 @@
             read => read?,
         };
         let (id, mut ask) = head?;
-        if self.intake.crowded() {
+        if takes_nothing_new(&self.intake, &self.shutdown) {
             return Ok(self.shed());
         }
         let open = OpenId::take(&self.ids, &id).ok_or_else(|| Malformed::Duplicate(id.to_string()))?;
--- a/src/node/shutdown.rs
+++ b/src/node/shutdown.rs
@@ -6,10 +6,15 @@
 
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// For so long after SIGTERM clients may still open connections.
 pub const STILL_ARRIVING: Duration = Duration::from_millis(1_000);
 
+/// For so long after SIGTERM requests are taken. One that comes later may still be under way when the process is killed,
+/// which counts from 0.7 s on; it is refused, so that its client can go elsewhere.
+const STILL_TAKING: Duration = Duration::from_millis(600);
+
 /// SIGTERM and SIGINT, which end the process in good order from the moment that this is made.
 pub struct Signals {
     terminate: Signal,
@@ -35,7 +40,8 @@
 /// Tells whether the process is ending, and counts what must be finished first.
 #[derive(Clone)]
 pub struct Shutdown {
-    ending: watch::Sender<bool>,
+    /// Since when the process is ending.
+    ending: watch::Sender<Option<Instant>>,
     open: Rc<Open>,
 }
 
@@ -59,19 +65,24 @@
 
 impl Default for Shutdown {
     fn default() -> Self {
-        Shutdown { ending: watch::Sender::new(false), open: Rc::default() }
+        Shutdown { ending: watch::Sender::new(None), open: Rc::default() }
     }
 }
 
 impl Shutdown {
     /// Whether the process is ending.
     pub fn ending(&self) -> bool {
-        *self.ending.borrow()
+        self.ending.borrow().is_some()
+    }
+
+    /// Whether the process has been ending for so long that nothing new may be taken.
+    pub fn refuses(&self) -> bool {
+        self.ending.borrow().is_some_and(|since| since.elapsed() >= STILL_TAKING)
     }
 
     /// Waits until the process is ending.
     pub async fn begun(&self) {
-        let _ = self.ending.subscribe().wait_for(|ending| *ending).await;
+        let _ = self.ending.subscribe().wait_for(Option::is_some).await;
     }
 
     /// Marks something as unfinished until the result is dropped.
@@ -84,7 +95,7 @@
     pub async fn run(&self, mut signals: Signals) {
         signals.received().await;
         tracing::info!("shutdown: begun, {} connections and requests open", self.open.count.get());
-        self.ending.send_replace(true);
+        self.ending.send_replace(Some(Instant::now()));
         tokio::time::sleep(STILL_ARRIVING).await;
         tracing::info!("shutdown: {} connections and requests still open", self.open.count.get());
         loop {
