Send a held state only over a connection that was heard from just now

Cause: kept connections are used for up to 2 s after their last answer. On one whose machine has vanished since, the call does not arrive and shows no error, so the state stays held for the whole time-out of the attempt. Change: while something is held for a request, an attempt takes a connection on which an answer ended within 250 ms, or a new one, whose handshake is an answer too.

--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -71,6 +71,8 @@
     pub until: Instant,
     /// When it must have begun, if it may not begin at any time.
     pub start_by: Option<Instant>,
+    /// Something is held for the request until the attempt has arrived: it goes over a connection that can be trusted.
+    pub held: bool,
 }
 
 /// What an attempt came to before any event was passed on.
@@ -191,7 +193,11 @@
         let (connection, response) = loop {
             *written = None;
             progress.writing.set(false);
-            let mut connection = match self.pool.connection(host).await {
+            let connection = match times.held {
+                true => self.pool.trusted_connection(host).await,
+                false => self.pool.connection(host).await,
+            };
+            let mut connection = match connection {
                 Ok(connection) => connection,
                 Err(NoConnection::Instance) => return ended(Outcome::Unreachable),
                 Err(NoConnection::Local) => return ended(Outcome::NotSent),
--- a/src/node/pool.rs
+++ b/src/node/pool.rs
@@ -30,6 +30,9 @@
 /// For which a connection must have been quiet before it is used again: within this a close right after an answer, or
 /// bytes behind it that belong to no request, have shown.
 const SETTLED: Duration = Duration::from_millis(100);
+/// For which a connection is trusted to reach its instance after the last answer on it. Machines vanish without a word,
+/// and what is sent to them has not arrived.
+const TRUSTED: Duration = Duration::from_millis(250);
 /// Idle connections kept for each instance: a usual burst to one, far under its limit.
 const IDLE_MOST: usize = 24;
 /// Read buffer of a connection; events are far smaller. With the pieces that wait for a slow reader it bounds what
@@ -276,7 +279,19 @@
 
     /// A connection to the host: an idle one that still stands, else a new one.
     pub async fn connection(&self, host: HostId) -> Result<Connection, NoConnection> {
-        while let Some(mut kept) = self.take_idle(host) {
+        self.connection_heard_within(host, self.limits.idle).await
+    }
+
+    /// A connection on which what is sent arrives, as far as can be known: one that answered just now, else a new one,
+    /// whose handshake is an answer too.
+    pub async fn trusted_connection(&self, host: HostId) -> Result<Connection, NoConnection> {
+        self.connection_heard_within(host, TRUSTED).await
+    }
+
+    async fn connection_heard_within(
+        &self, host: HostId, within: Duration,
+    ) -> Result<Connection, NoConnection> {
+        while let Some(mut kept) = self.take_idle(host, within) {
             // Guards against a connection that the instance has closed: the driver knows at once.
             if kept.sender.ready().await.is_ok() {
                 add(&self.counters.reuses);
@@ -291,11 +306,11 @@
         opened.unwrap_or(Err(waits_for.get()))
     }
 
-    fn take_idle(&self, host: HostId) -> Option<Connection> {
+    fn take_idle(&self, host: HostId, within: Duration) -> Option<Connection> {
         let mut shelves = self.shelves.borrow_mut();
         let idle = &mut shelves.get_mut(&host)?.idle;
         idle.retain(|c| c.since.elapsed() < self.limits.idle && !c.sender.is_closed());
-        let settled = idle.iter().rposition(|c| c.since.elapsed() >= SETTLED)?;
+        let settled = idle.iter().rposition(|c| (SETTLED..=within).contains(&c.since.elapsed()))?;
         Some(idle.remove(settled))
     }
 
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -280,6 +280,7 @@
         let times = Times {
             until: (attempt.begun + span(attempt.send.time_out)).min(self.deadline),
             start_by: attempt.send.start_within.map(|within| attempt.begun + span(within)),
+            held: self.held.any,
         };
         let upstream = self.core.upstream.clone();
         let first = upstream.first(attempt.send.host, payload, times, &progress);
--- a/tests/connection_wait.rs
+++ b/tests/connection_wait.rs
@@ -135,7 +135,7 @@
     let taken = take_room(&core, &listener).await;
     let upstream = core.upstream.clone();
     let attempt = spawn_local(async move {
-        let times = Times { until: Instant::now() + PATIENCE, start_by };
+        let times = Times { until: Instant::now() + PATIENCE, start_by, held: false };
         let (first, _) = upstream.first(HostId(rig::PREFILL), &payload(), times, &Progress::default()).await;
         let First::Ended(outcome) = first else { panic!("nobody answers") };
         outcome
