Test sends that begin too late for what is held, and wall clocks that are an hour off

Result: a state is sent on with no limit on when that begins; with the clock an hour behind a server that has just started stays cold beyond its ramp of 0.5 s, and with it an hour ahead it counts as warm at once.

--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -369,6 +369,22 @@
     assert!(early <= 48, "{early} in the first 3 s: 0.3 to 0.51 of 20 a second, times 3 and a half");
 }
 
+#[test]
+fn rule_5_a_state_is_sent_on_only_if_that_can_begin_within_its_time() {
+    let mut rig = Rig::new(settings(), &[member(PREFILL, 0), member(DECODE, 1), member(11, 1)]);
+    rig.request(1);
+    let first = sent_to(&rig.end(1, PREFILL, Outcome::Read)).expect("sent on");
+    let read_at = rig.now;
+    let out = rig.step(250 * MS, &[ended(1, first, Outcome::Unreachable, false)]);
+    let within = out.iter().find_map(|action| match action {
+        Action::Send { start_within, .. } => Some(*start_within),
+        _ => None,
+    });
+    let left = read_at + 500 * MS - rig.now;
+    let within = within.expect("sent on again");
+    assert!(within.is_some_and(|within| within < left), "{within:?} of the {left} us that are left");
+}
+
 /// Starts a fleet of routers at once, with one request a second each, that hear in their first list of a decode server
 /// that has just started, and by probes that it is the one with most room; gives when it was sent something.
 fn sends_to_a_cold_server_of_a_fleet_that_starts(routers: u64, first: impl Fn(u64) -> Micros) -> Vec<Micros> {
--- a/tests/system_calls.rs
+++ b/tests/system_calls.rs
@@ -4,9 +4,11 @@
 
 use std::time::Duration;
 
-use common::faults::{EADDRINUSE, ECONNABORTED, EINTR, ENETUNREACH, Faults, failing};
-use common::peers::{Connection, END, Listener, READ, STREAM, client, configuration, request, start_with};
-use common::program::{Program, address};
+use common::faults::{EADDRINUSE, ECONNABORTED, EINTR, ENETUNREACH, Faults, clock_off, failing};
+use common::peers::{
+    Connection, END, Listener, READ, STREAM, client, configuration, list, request, start_with,
+};
+use common::program::{Program, address, target};
 
 /// Longer than it takes to use up all attempts of a request, or all that are made at a start, one right after another.
 const A_MOMENT: Duration = Duration::from_millis(1_500);
@@ -85,3 +87,58 @@
     drop(open);
     program.end();
 }
+
+/// Milliseconds of Unix time.
+fn unix_ms() -> i64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("after 1970");
+    i64::try_from(since.as_millis()).expect("not far after 1970")
+}
+
+/// A prefill server as the list tells it, started at this moment.
+fn started(base: &str, unix_ms: i64) -> String {
+    target(base, "r1", "Ready").replace("\"started_ms\":0", &format!("\"started_ms\":{unix_ms}"))
+}
+
+/// A cold server bears next to nothing, and is warm after so long.
+fn ramp(milliseconds: u32) -> [(&'static str, String); 2] {
+    [
+        ("\"fallMultiple\": 3.0", "\"fallMultiple\": 0.001".to_owned()),
+        ("\"rampTime\": 13000.0", format!("\"rampTime\": {milliseconds}.0")),
+    ]
+}
+
+#[test]
+fn a_server_that_started_in_the_future_of_a_clock_that_is_behind_gets_warm() {
+    let base = address();
+    let faults = Faults::new(&base, &[clock_off(-3_600)]);
+    let (prefills, decodes) = (Listener::instance(&base, "r1"), Listener::instance(&base, "w1"));
+    let ramp = ramp(500);
+    let settings = ramp.each_ref().map(|(old, new)| (*old, new.as_str()));
+    let (mut program, _discovery, mut watch) =
+        start_with(&base, &["r1", "w1"], &settings, &faults.variables());
+    watch.send(&(list(2, false, &[started(&base, unix_ms())]) + "\n"));
+    program.logs("discovery: r1 is Ready");
+    std::thread::sleep(A_MOMENT);
+    let mut asking = client(&base);
+    asking.send(&request("t1", "climb-query", 2_000));
+    let _open = served(&prefills, &decodes, "t1", &mut asking);
+    program.end();
+}
+
+#[test]
+fn a_server_that_has_just_started_is_cold_though_the_clock_is_an_hour_ahead() {
+    let base = address();
+    let faults = Faults::new(&base, &[clock_off(3_600)]);
+    let prefills = Listener::instance(&base, "r1");
+    let ramp = ramp(20_000);
+    let settings = ramp.each_ref().map(|(old, new)| (*old, new.as_str()));
+    let (mut program, _discovery, mut watch) =
+        start_with(&base, &["r1", "w1"], &settings, &faults.variables());
+    watch.send(&(list(2, false, &[started(&base, unix_ms())]) + "\n"));
+    program.logs("discovery: r1 is Ready");
+    let mut asking = client(&base);
+    asking.send(&request("t2", "climb-query", 500));
+    assert!(asking.message().head.starts_with("HTTP/1.1 429"));
+    program.end();
+    assert!(prefills.is_untouched(), "a cold server was sent to");
+}
