Lay told starts on the monotonic clock and bound what the wall clock can do to them

Cause: `Clock::start` read the wall clock once and told starts were laid on it, so that a router that starts while its clock is stepped takes cold servers for warm, or for cold for as long as the clock is off. Change: `StartTimes` keeps one time for each told start. One in the future, or, while the list is followed, one longer ago than the list was unheard plus 10 s, counts as now, and later starts are put right by the difference, up to 2 h. Not covered: a router that starts with its clock ahead believes the starts of its first list to be older than they are.

--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -18,6 +18,7 @@
 use super::backoff::Backoff;
 use super::counters::add;
 use super::pool::Site;
+use super::start_times::StartTimes;
 use super::target_list::{Entry, ListError, ListReader, State, Target, TargetList};
 use super::{Clock, Core};
 use crate::api::*;
@@ -86,7 +87,9 @@
     core: Core,
     settings: Settings,
     names: Names,
-    clock: Clock,
+    starts: StartTimes,
+    /// When all that discovery had was last known; none before it has been heard.
+    heard: Option<Instant>,
     ids: HostIds,
     version: Option<u64>,
     backoff: Backoff,
@@ -101,7 +104,9 @@
         let (sharing, patience) =
             if settings.ask_for_list { (settings.routers, ANSWER) } else { (1, AGENT_ANSWER) };
         let backoff = Backoff::new(sharing, seed);
-        Directory { core, settings, names, clock, ids: HostIds::default(), version: None, backoff, patience }
+        let starts = StartTimes::new(clock);
+        let ids = HostIds::default();
+        Directory { core, settings, names, starts, heard: None, ids, version: None, backoff, patience }
     }
 
     /// Takes a list in at once: what drains or is gone must not wait.
@@ -117,6 +122,7 @@
             let pool = self.core.upstream.pool();
             pool.hosts().into_iter().filter(|host| !known(host)).for_each(|host| pool.place(host, None));
             self.ids.retain(|host| known(&host));
+            self.starts.forget_all_but(|host| known(&host));
         }
         self.core.planner.hosts(list.full, members);
     }
@@ -160,7 +166,7 @@
             cell: CellId(target.cell),
             kind: KindId(kind),
             phase,
-            started: self.clock.started(target.started_ms),
+            started: self.starts.told(host, target.started_ms, self.heard.map(|heard| heard.elapsed())),
         })
     }
 
@@ -215,6 +221,7 @@
                 let mut body = get(addr, "/api/targets", self.patience).await?;
                 let list = whole_list(&mut body, self.patience).await?;
                 self.take_list(&list);
+                self.heard = Some(Instant::now());
                 told.send_replace(true);
                 list.version
             }
@@ -231,6 +238,7 @@
             }
             // A list that has only begun has told nothing.
             if reader.between_lists() {
+                self.heard = Some(heard);
                 told.send_replace(true);
             }
         }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -19,6 +19,7 @@
 pub mod reload;
 pub mod request;
 pub mod shutdown;
+pub mod start_times;
 pub mod target_list;
 
 use std::rc::Rc;
@@ -46,11 +47,6 @@
     pub fn now(&self) -> Micros {
         self.base + self.start.elapsed().as_micros() as Micros
     }
-
-    /// A Unix time in milliseconds on the module's clock; none for 0, which means long ago.
-    pub fn started(&self, unix_ms: i64) -> Option<Micros> {
-        (unix_ms > 0).then(|| unix_ms.saturating_mul(1_000))
-    }
 }
 
 /// A duration of the module as the timers take it; one below zero has run out.
