Test the end of listening and room made by connections with a fresh last answer

Result: when the process is about to end the system still takes connections, which its end resets; a connection is chosen to make room in the moment in which its last answer was written.

--- a/tests/client_connection.rs
+++ b/tests/client_connection.rs
@@ -83,6 +83,24 @@
     });
 }
 
+#[test]
+fn a_connection_whose_last_answer_has_just_been_written_makes_no_room_for_others() {
+    run(async {
+        let intake = Intake::new(1, 1_024);
+        let (mut client, state) = connect(&intake, 4_096);
+        client
+            .write_all(b"GET /x HTTP/1.1\r\nHost: app.svc\r\nConnection: close\r\n\r\n")
+            .await
+            .expect("an open pipe");
+        reaches(&state, Stage::Leaving).await;
+        let _other = intake.enter();
+        assert_eq!(state.stage(), Stage::Leaving, "it was chosen though its client may still read");
+        sleep(Duration::from_millis(500)).await;
+        let _next = intake.enter();
+        assert_ne!(state.stage(), Stage::Leaving, "it goes when its client has had time to read");
+    });
+}
+
 #[test]
 fn a_head_that_begins_on_an_idle_connection_has_its_own_time() {
     run(async {
--- /dev/null
+++ b/tests/listener_close.rs
@@ -0,0 +1,45 @@
+//! The end of listening: nothing is taken by the system that nobody would serve.
+
+use std::net::{SocketAddr, TcpStream};
+use std::process::Command;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use croftsill::node::front::intake::Intake;
+use croftsill::node::front::{Front, Reply, serve};
+use croftsill::node::shutdown::{Shutdown, Signals};
+use http_body_util::{Either, Full};
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use tokio::net::TcpListener;
+use tokio::task::{LocalSet, spawn_local};
+
+#[derive(Clone)]
+struct FixedAnswer;
+
+impl Front for FixedAnswer {
+    async fn handle(self, _: Request<Incoming>) -> Reply {
+        Response::new(Either::Left(Full::new(Bytes::from_static(b"answer"))))
+    }
+}
+
+async fn ends_after_sigterm() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("it listens");
+    let (signals, shutdown) = (Signals::listen().expect("signals"), Shutdown::default());
+    let intake: Rc<Intake> = Intake::new(8, 1_024);
+    spawn_local(serve(listener, None, intake, shutdown.clone(), |_| FixedAnswer));
+    let own = std::process::id().to_string();
+    assert!(Command::new("kill").args(["-TERM", &own]).status().expect("kill runs").success());
+    shutdown.run(signals).await;
+    address
+}
+
+#[test]
+fn nothing_is_taken_by_the_system_once_the_process_is_about_to_end() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let tasks = LocalSet::new();
+    let address = tasks.block_on(&runtime, ends_after_sigterm());
+    // All tasks are as they were when the last connection had ended; the process would end here.
+    assert!(TcpStream::connect(address).is_err(), "it took a connection that it would reset");
+}
