Close the listener before the process waits for its last connections

Cause: the process ended when nothing was open, with its listener still open; a connection that the system had taken by then was reset with its request unread or half served. Change: 1 s after the signal the fronts serve what the system has taken so far and close their listeners, so that later clients are refused and go elsewhere; the process waits for that as for any connection. Accepting and serving stand in functions of their own.

--- a/src/node/front/intake.rs
+++ b/src/node/front/intake.rs
@@ -104,9 +104,14 @@
         Place { intake: self.clone(), number, client }
     }
 
+    /// Whether no more connections can be taken, not even to be told that there is no room.
+    pub fn full(&self) -> bool {
+        self.connections.borrow().len() >= self.most + SPARE
+    }
+
     /// Waits until one more connection can be taken, if only to be told that there is no room.
     pub async fn vacancy(&self) {
-        while self.connections.borrow().len() >= self.most + SPARE {
+        while self.full() {
             self.make_room();
             let _ = timeout(LOOK_AGAIN, self.left.notified()).await;
         }
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -9,6 +9,7 @@
 pub mod platform;
 pub mod spiffe;
 
+use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -19,10 +20,10 @@
 use hyper::body::{Body, Frame, Incoming};
 use hyper::header::{HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::Core;
 use super::attempt::Payload;
@@ -38,6 +39,9 @@
 /// Buffer of a client's connection; heads that are longer are refused.
 pub const BUFFER: usize = 32 * 1024;
 
+/// Between tries to accept a connection that the system fails to hand over.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+
 /// When a client that found no room should come back, where the settings name no shorter time.
 const SHED_WAIT: Micros = 1_000_000;
 
@@ -122,49 +126,72 @@
     answer
 }
 
-/// Serves connections until the process has ended. With `tls` each client must prove its identity first.
+/// Serves connections until no more are to be taken. With `tls` each client must prove its identity first.
 pub async fn serve<F: Front>(
     listener: TcpListener, tls: Option<Identities>, intake: Rc<Intake>, shutdown: Shutdown,
     front: impl Fn(Peer) -> F + Clone + 'static,
 ) {
+    let open = shutdown.pending();
+    let start = |socket| start_connection(socket, &tls, &intake, &shutdown, &front);
     loop {
-        // Past all limits clients wait in the system's queue.
-        intake.vacancy().await;
-        let socket = match listener.accept().await {
-            Ok((socket, _)) => socket,
+        let accepted = tokio::select! {
+            biased;
+            () = shutdown.closed() => break,
+            accepted = next_connection(&listener, &intake) => accepted,
+        };
+        match accepted {
+            Ok(socket) => start(socket),
             Err(fault) => {
                 tracing::warn!("intake: cannot accept a connection: {fault}");
-                tokio::time::sleep(Duration::from_millis(20)).await;
-                continue;
+                sleep(ACCEPT_AGAIN).await;
             }
+        }
+    }
+    // What the system has taken so far is served too; its close refuses the rest.
+    let Ok(listener) = listener.into_std() else { return };
+    while !intake.full()
+        && let Ok((socket, _)) = listener.accept()
+    {
+        let socket = socket.set_nonblocking(true).and_then(|()| TcpStream::from_std(socket));
+        socket.into_iter().for_each(start);
+    }
+    drop(listener);
+    drop(open);
+}
+
+/// The next connection, once there is room to take one.
+async fn next_connection(listener: &TcpListener, intake: &Intake) -> io::Result<TcpStream> {
+    // Past all limits clients wait in the system's queue.
+    intake.vacancy().await;
+    listener.accept().await.map(|(socket, _)| socket)
+}
+
+/// Starts to serve a connection; it has a place among the others from now on.
+fn start_connection<F: Front>(
+    socket: TcpStream, tls: &Option<Identities>, intake: &Rc<Intake>, shutdown: &Shutdown,
+    front: &(impl Fn(Peer) -> F + Clone + 'static),
+) {
+    let _ = socket.set_nodelay(true);
+    let (place, pending) = (intake.enter(), shutdown.pending());
+    let Some(identities) = tls else {
+        let front = front(Peer::Unproven);
+        spawn_local(serve_connection(socket, front, shutdown.clone(), (place, pending)));
+        return;
+    };
+    let (identities, front, shutdown) = (identities.clone(), front.clone(), shutdown.clone());
+    spawn_local(async move {
+        let proven = tokio::select! {
+            proven = timeout(HEAD_TIME, identities.prove(socket)) => proven,
+            () = place.client.evicted() => return,
         };
-        let _ = socket.set_nodelay(true);
-        let (place, pending) = (intake.enter(), shutdown.pending());
-        match &tls {
-            None => drop(spawn_local(serve_connection(
-                socket,
-                front(Peer::Unproven),
-                shutdown.clone(),
-                (place, pending),
-            ))),
-            Some(identities) => {
-                let (identities, front, shutdown) = (identities.clone(), front.clone(), shutdown.clone());
-                spawn_local(async move {
-                    let proven = tokio::select! {
-                        proven = timeout(HEAD_TIME, identities.prove(socket)) => proven,
-                        () = place.client.evicted() => return,
-                    };
-                    match proven {
-                        Ok(Ok((stream, peer))) => {
-                            serve_connection(stream, front(peer), shutdown, (place, pending)).await;
-                        }
-                        Ok(Err(fault)) => {
-                            tracing::warn!("intake: a client did not prove its identity: {fault}");
-                        }
-                        Err(_) => tracing::warn!("intake: a client did not prove its identity in time"),
-                    }
-                });
+        match proven {
+            Ok(Ok((stream, peer))) => {
+                serve_connection(stream, front(peer), shutdown, (place, pending)).await;
             }
+            Ok(Err(fault)) => {
+                tracing::warn!("intake: a client did not prove its identity: {fault}");
+            }
+            Err(_) => tracing::warn!("intake: a client did not prove its identity in time"),
         }
-    }
+    });
 }
--- a/src/node/shutdown.rs
+++ b/src/node/shutdown.rs
@@ -42,6 +42,8 @@
 pub struct Shutdown {
     /// Since when the process is ending.
     ending: watch::Sender<Option<Instant>>,
+    /// No more connections are taken.
+    closed: watch::Sender<bool>,
     open: Rc<Open>,
 }
 
@@ -65,7 +67,7 @@
 
 impl Default for Shutdown {
     fn default() -> Self {
-        Shutdown { ending: watch::Sender::new(None), open: Rc::default() }
+        Shutdown { ending: watch::Sender::new(None), closed: watch::Sender::new(false), open: Rc::default() }
     }
 }
 
@@ -85,6 +87,11 @@
         let _ = self.ending.subscribe().wait_for(Option::is_some).await;
     }
 
+    /// Waits until no more connections are to be taken.
+    pub async fn closed(&self) {
+        let _ = self.closed.subscribe().wait_for(|closed| *closed).await;
+    }
+
     /// Marks something as unfinished until the result is dropped.
     pub fn pending(&self) -> Pending {
         self.open.count.set(self.open.count.get() + 1);
@@ -94,10 +101,13 @@
     /// Waits for a signal to end, then until all that still arrives is finished.
     pub async fn run(&self, mut signals: Signals) {
         signals.received().await;
-        tracing::info!("shutdown: begun, {} connections and requests open", self.open.count.get());
+        let open = self.open.count.get();
+        tracing::info!("shutdown: begun, {open} listeners, connections and requests open");
         self.ending.send_replace(Some(Instant::now()));
         tokio::time::sleep(STILL_ARRIVING).await;
-        tracing::info!("shutdown: {} connections and requests still open", self.open.count.get());
+        let open = self.open.count.get();
+        tracing::info!("shutdown: {open} listeners, connections and requests still open");
+        self.closed.send_replace(true);
         loop {
             let none = self.open.none.notified();
             if self.open.count.get() == 0 {
