Give a client 250 ms to read its last answer before its connection makes room

Cause: connections with their last answer went first, in the moment in which it was written; a close over unread bytes resets the connection and may destroy the answer. Change: such a connection may make room 250 ms later.

--- a/src/node/front/intake.rs
+++ b/src/node/front/intake.rs
@@ -16,6 +16,8 @@
 const SILENT_LEAST: Duration = Duration::from_millis(250);
 /// The same for one that has begun a head.
 const BEGUN_LEAST: Duration = Duration::from_millis(1_000);
+/// For a client to read its last answer, which a close over unread bytes would destroy.
+const LEAVING_LEAST: Duration = Duration::from_millis(250);
 /// Between looks for a connection that may make room, while none may.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 
@@ -120,7 +122,8 @@
     /// Of those that may go, the first by stage and time.
     fn make_room(&self) {
         let may_go = |client: &&Rc<ClientState>| match client.stage() {
-            Stage::Leaving | Stage::Idle => true,
+            Stage::Leaving => client.age() >= LEAVING_LEAST,
+            Stage::Idle => true,
             Stage::Silent => client.age() >= SILENT_LEAST,
             Stage::Begun => client.age() >= BEGUN_LEAST,
             Stage::Open | Stage::Answered => false,
