Test two silent watches in a row, answers of another type and an end before the start

Cause: three more guesses from reading: a watch that replaces a silent one may be silent too; a 200 that is no event stream is passed on as served; the new retries of a start do not hear SIGTERM. Result: the third watch is opened 6.4 s after the first one's last line, 'noise' of type text/html reaches the client, and the process ends after 15 s with status 1.

--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -320,6 +320,43 @@
     program.end();
 }
 
+#[test]
+fn two_watches_that_fall_silent_one_after_the_other_are_replaced_within_six_seconds() {
+    let base = address();
+    let (program, mut discovery, mut watch) = start(&base, &["r1", "w1"], &[]);
+    watch.send("\n");
+    let heard = Instant::now();
+    let mut silent = discovery.opens_watch();
+    let mut next = discovery.takes_watch();
+    // What the first one missed counts as told 6 s after it fell silent.
+    let elapsed = heard.elapsed();
+    assert!(elapsed < Duration::from_millis(5_700), "{elapsed:?}");
+    silent.connection.send_into_the_close("");
+    next.connection.send_into_the_close("");
+    program.end();
+}
+
+#[test]
+fn an_answer_that_is_no_stream_of_events_is_not_passed_on() {
+    let peers = Peers::start(&[]);
+    let mut asking = peers.client();
+    asking.send(&request("n1", "climb-query", 6_000));
+    let mut read = prefill(&peers.prefills, "n1");
+    let mut noise = peers.decodes.accept();
+    noise.message();
+    // Kept connections are used again once they have been quiet for a while.
+    std::thread::sleep(Duration::from_millis(150));
+    noise.send("HTTP/1.1 200 OK\r\nContent-Type: text/html\r\nContent-Length: 5\r\n\r\nnoise");
+    // The state may have gone with it, so it is let go of and the prompt is read anew.
+    assert!(read.message().head.starts_with("DELETE"));
+    read.send("HTTP/1.1 204 No Content\r\n\r\n");
+    let _again = prefill(&peers.prefills, "n1");
+    let mut stream = decode(&peers.decodes, "n1");
+    stream.send(END);
+    asking.reads_until("0\r\n\r\n");
+    peers.program.end();
+}
+
 #[test]
 fn a_list_that_comes_in_pieces_and_over_several_lines_is_taken_in() {
     let base = address();
--- a/tests/system_calls.rs
+++ b/tests/system_calls.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use common::faults::{EADDRINUSE, ECONNABORTED, EINTR, ENETUNREACH, Faults, clock_off, failing};
 use common::peers::{
@@ -56,6 +56,20 @@
     program.end();
 }
 
+#[test]
+fn a_program_that_cannot_start_yet_still_ends_when_it_is_told_to() {
+    let base = address();
+    let faults = Faults::new(&base, &[failing("bind", EADDRINUSE, 100)]);
+    let path = configuration(&base, &[]);
+    let [library, control] = faults.variables();
+    let mut program = Program::start(&base, &[], &[("LB_CONFIG", &path), library, control]);
+    program.logs("cannot listen on");
+    program.signal("TERM");
+    let begun = Instant::now();
+    program.ended(true);
+    assert!(begun.elapsed() < Duration::from_secs(8), "{:?}", begun.elapsed());
+}
+
 #[test]
 fn a_configuration_that_cannot_be_opened_for_a_moment_does_not_end_the_start() {
     let base = address();
