Give up a silent watch on the router's own agent after 2.6 s

Cause: 3.2 s of silence twice are 6.4 s, and what a watch misses counts as told 6 s after it fell silent. Change: 2.6 s where an agent is asked, whose answers cost nothing; 3.2 s stay where discovery is one service for all.

--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -27,6 +27,9 @@
 /// Silence after which a watch is given up: an empty line is due every 2 s. What it should have told counts as told
 /// 6 s later, so a new watch must be there well before.
 const SILENCE: Duration = Duration::from_millis(3_200);
+/// The same where an agent of this router's own is asked, which a new call costs nothing: also a watch that takes the
+/// place of a silent one, and is silent too, is replaced within the 6 s.
+const AGENT_SILENCE: Duration = Duration::from_millis(2_600);
 /// For discovery to take a connection and to answer where it is asked. Calls wait in turn there and are told when they
 /// have waited too long: one that is given up sooner is still worked on, and the next only lengthens the queue.
 const ANSWER: Duration = Duration::from_secs(4);
@@ -95,18 +98,33 @@
     backoff: Backoff,
     /// For discovery to answer a call.
     patience: Duration,
+    /// Without a line, after which a watch is given up.
+    silence: Duration,
 }
 
 impl Directory {
     /// An empty directory.
     pub fn new(core: Core, settings: Settings, names: Names, clock: Clock, seed: u64) -> Self {
         // An agent that is sent the list by itself answers at no cost; nobody else waits for it.
-        let (sharing, patience) =
-            if settings.ask_for_list { (settings.routers, ANSWER) } else { (1, AGENT_ANSWER) };
+        let (sharing, patience, silence) = match settings.ask_for_list {
+            true => (settings.routers, ANSWER, SILENCE),
+            false => (1, AGENT_ANSWER, AGENT_SILENCE),
+        };
         let backoff = Backoff::new(sharing, seed);
         let starts = StartTimes::new(clock);
         let ids = HostIds::default();
-        Directory { core, settings, names, starts, heard: None, ids, version: None, backoff, patience }
+        Directory {
+            core,
+            settings,
+            names,
+            starts,
+            heard: None,
+            ids,
+            version: None,
+            backoff,
+            patience,
+            silence,
+        }
     }
 
     /// Takes a list in at once: what drains or is gone must not wait.
@@ -228,7 +246,7 @@
         };
         let mut body = get(addr, &format!("/api/targets?follow=1&since={version}"), self.patience).await?;
         let (mut reader, mut heard) = (ListReader::default(), Instant::now());
-        while let Some(part) = piece(&mut body, SILENCE).await.inspect_err(|fault| {
+        while let Some(part) = piece(&mut body, self.silence).await.inspect_err(|fault| {
             *since = if matches!(fault, WatchError::Silent) { heard } else { Instant::now() };
         })? {
             heard = Instant::now();
