Pass on only streams of events from the platform's servers

Cause: a 200 of any type was passed on byte by byte as served. Change: on the platform's protocol an answer of another type counts as one that cannot be read; the type is compared without regard to case.

--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -239,6 +239,10 @@
             let chat = matches!(self.dialect, Dialect::Chat(_));
             let from = (self.pool.clone(), host, connection);
             let mut events = Events::new(from, body, (head.status, head.headers), chat);
+            // The platform's servers answer in streams of events; what is none was not made for this request.
+            if !chat && !events.form().streamed() {
+                return (First::Ended(Outcome::Malformed), report);
+            }
             return match events.open().await {
                 Ok(()) => (First::Began(Box::new(events)), report),
                 Err(outcome) => (First::Ended(outcome), report),
--- a/src/node/events.rs
+++ b/src/node/events.rs
@@ -19,6 +19,8 @@
 
 /// Time without an event after which a running stream is taken for dead. Clients are not to wait 5 s for nothing.
 const SILENCE: Duration = Duration::from_millis(4_300);
+/// The content type of a stream, without parameters.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
 /// Longest event; one that does not end is not an event.
 const EVENT_MOST: usize = 64 * 1024;
 
@@ -34,7 +36,8 @@
 impl Form {
     /// Whether it comes as a stream of events.
     pub fn streamed(&self) -> bool {
-        self.content_type.as_ref().is_some_and(|v| v.as_bytes().starts_with(b"text/event-stream"))
+        let kind = self.content_type.as_ref().and_then(|value| value.as_bytes().get(..EVENT_STREAM.len()));
+        kind.is_some_and(|kind| kind.eq_ignore_ascii_case(EVENT_STREAM))
     }
 }
 
