Hear the signal to end while a start waits for what the system refuses

Cause: the retries of a start ran before anybody listened for SIGTERM. Change: the start and the signal are waited for together.

--- a/src/main.rs
+++ b/src/main.rs
@@ -156,11 +156,11 @@
     }
 }
 
-async fn run() -> Result<(), StartError> {
-    let clock = Clock::start();
-    let hangups = reload::hangups()?;
-    let ends = Signals::listen()?;
-    let shutdown = Shutdown::default();
+/// The counters of each front, by its name.
+type Counted = Vec<(&'static str, Rc<Counters>)>;
+
+/// Reads what the program is told and starts its fronts.
+async fn start(clock: Clock, shutdown: &Shutdown, hangups: Signal) -> Result<Counted, StartError> {
     let chat = match chat_file()? {
         Some(path) => Some(read_config(|| Chat::read(&path)).await?),
         None => None,
@@ -177,15 +177,30 @@
         config.leave(chat.as_ref().map_or(0, |chat| chat.intake + chat.pool.connections));
         let counters = Rc::new(Counters::default());
         counted.push(("platform", counters.clone()));
-        start_platform(config, clock, counters, &shutdown, (hangups, path)).await?;
+        start_platform(config, clock, counters, shutdown, (hangups, path)).await?;
     } else {
         spawn_local(reload::refuse(hangups));
     }
     if let Some(config) = chat {
         let counters = Rc::new(Counters::default());
         counted.push(("chat", counters.clone()));
-        start_chat(config, clock, counters, &shutdown).await?;
+        start_chat(config, clock, counters, shutdown).await?;
     }
+    Ok(counted)
+}
+
+async fn run() -> Result<(), StartError> {
+    let clock = Clock::start();
+    let hangups = reload::hangups()?;
+    let mut ends = Signals::listen()?;
+    let shutdown = Shutdown::default();
+    let counted = tokio::select! {
+        counted = start(clock, &shutdown, hangups) => counted?,
+        () = ends.received() => {
+            tracing::info!("shutdown: told to end before the start was over");
+            return Ok(());
+        }
+    };
     for (front, counters) in &counted {
         spawn_local(counters.clone().report(front));
     }
--- a/src/node/shutdown.rs
+++ b/src/node/shutdown.rs
@@ -29,7 +29,7 @@
     }
 
     /// Waits for either.
-    async fn received(&mut self) {
+    pub async fn received(&mut self) {
         tokio::select! {
             _ = self.terminate.recv() => {}
             _ = self.interrupt.recv() => {}
