Decide in one place what may be written or closed now, and count what breaks a rule

Cause: whether an attempt may still be written was decided in three places, whether a connection may go in four, and no log said why a client was refused or a connection closed. Change: `SendGate`, one for each request, is asked right before the first byte of each attempt and says why not: unwanted, draining, late, expired or a second attempt. `front::close` has the reasons of closes and who may make room. A final answer is logged with its attempts, last outcome and time left. Counted as violations: a second attempt, a state held over its time and 300 ms, an answer over 0.5 s late, a request that ends with no answer.

--- a/src/logic/attempts.rs
+++ b/src/logic/attempts.rs
@@ -19,8 +19,8 @@
         self.sent - self.not_sent
     }
 
-    /// Until when the next attempt may begin; none where any time will do. A connection may be long in coming up, and
-    /// what is held waits meanwhile.
+    /// Until when the next attempt may begin; none where any time will do. A connection may be long in
+    /// coming up, and what is held waits meanwhile.
     fn begins_until(&self, set: &Settings) -> Option<Micros> {
         let held = self.stage == Stage::Writing && self.prefill.is_some();
         let time = (set.rules.pin_limit as f64 * placement::READY_BEGIN) as Micros;
--- a/src/logic/slow_start.rs
+++ b/src/logic/slow_start.rs
@@ -42,8 +42,8 @@
 }
 
 impl Router {
-    /// Counts what this router has earned since the last time, at the rate of now: what comes in later, as in a
-    /// burst that all routers see at once, earns nothing for the time before.
+    /// Counts what this router has earned since the last time, at the rate of now: what comes in later, as
+    /// in a burst that all routers see at once, earns nothing for the time before.
     pub(super) fn earn(&mut self, now: Micros) {
         let passed = (now - self.earned.at).max(0) as f64;
         let (prefill, decode) = (self.own_rate(now, true) * passed, self.own_rate(now, false) * passed);
@@ -66,8 +66,8 @@
         host.slow_start = SlowStart { since: now, mark: self.earned.of(host.role), saved };
     }
 
-    /// Puts the first send to a cold host off by chance, as all routers hear of a start at once: each has a random part
-    /// of a send saved, also one that has started itself and seen no request yet.
+    /// Puts the first send to a cold host off by chance, as all routers hear of a start at once: each has a
+    /// random part of a send saved, also one that has started itself and seen no request yet.
     pub(super) fn start_slowly(&mut self, now: Micros, to: HostId) {
         self.use_slow_start(now, to, chance(to.0, now as u64 ^ self.salt));
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -19,7 +19,7 @@
 use croftsill::node::planner::Planner;
 use croftsill::node::pool::{Pool, Site};
 use croftsill::node::shutdown::{Shutdown, Signals};
-use croftsill::node::{Clock, Core, reload, tend_fleet};
+use croftsill::node::{Clock, Core, reload, span, tend_fleet};
 use tokio::net::TcpListener;
 use tokio::signal::unix::Signal;
 use tokio::sync::watch;
@@ -82,7 +82,8 @@
 ) -> Result<(), StartError> {
     let pool = Rc::new(Pool::new(config.pool, counters.clone()));
     let (planner, orders) = Planner::start(config.settings.clone(), config.seed, clock);
-    let upstream = Rc::new(Upstream::new(pool.clone(), Dialect::Platform, counters.clone()));
+    let held_most = span(config.settings.rules.pin_limit);
+    let upstream = Rc::new(Upstream::new(pool.clone(), Dialect::Platform, counters.clone(), held_most));
     let (discovery, address) = watch::channel(config.discovery);
     let (hangups, path) = replaced;
     spawn_local(reload::follow(hangups, path, discovery, counters.clone()));
@@ -125,7 +126,7 @@
     let pool = Rc::new(Pool::new(config.pool.clone(), counters.clone()));
     let (planner, orders) = Planner::start(config.settings.clone(), seed, clock);
     let dialect = Dialect::Chat(std::mem::take(&mut config.server_headers));
-    let upstream = Rc::new(Upstream::new(pool.clone(), dialect, counters.clone()));
+    let upstream = Rc::new(Upstream::new(pool.clone(), dialect, counters.clone(), Duration::ZERO));
     let core = Core { planner, upstream, counters };
     spawn_local(tend_fleet(core.clone(), orders));
     let swept = pool.clone();
--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -1,6 +1,5 @@
 //! One exchange with an instance, in the dialect that the fleet speaks, told in the module's terms.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,6 +13,7 @@
 use super::counters::{Counters, add};
 use super::events::Events;
 use super::pool::{NoConnection, Pool, WriteMark};
+use super::send_gate::{Denied, SendGate, Times};
 use crate::api::{HostId, Load, Micros, Outcome, Role};
 
 /// Header by which instances recognise repeats of a request.
@@ -49,32 +49,6 @@
     pub body: Bytes,
 }
 
-/// How far an attempt has come, as the request's life and the exchange see it.
-#[derive(Default)]
-pub struct Progress {
-    writing: Cell<bool>,
-    unwanted: Cell<bool>,
-}
-
-impl Progress {
-    /// Nobody wants the answer any more: the request must not be written from now on. Whether that has begun.
-    pub fn unwanted(&self) -> bool {
-        self.unwanted.set(true);
-        self.writing.get()
-    }
-}
-
-/// The times of an attempt.
-#[derive(Clone, Copy, Debug)]
-pub struct Times {
-    /// Until when its first event is waited for.
-    pub until: Instant,
-    /// When it must have begun, if it may not begin at any time.
-    pub start_by: Option<Instant>,
-    /// Something is held for the request until the attempt has arrived: it goes over a connection that can be trusted.
-    pub held: bool,
-}
-
 /// What an attempt came to before any event was passed on.
 pub enum First {
     /// The stream has begun.
@@ -90,6 +64,7 @@
     pool: Rc<Pool>,
     dialect: Dialect,
     counters: Rc<Counters>,
+    held_most: Duration,
 }
 
 #[derive(Deserialize)]
@@ -136,9 +111,14 @@
 }
 
 impl Upstream {
-    /// A fleet behind this pool.
-    pub fn new(pool: Rc<Pool>, dialect: Dialect, counters: Rc<Counters>) -> Self {
-        Upstream { pool, dialect, counters }
+    /// A fleet behind this pool, at which a state or place may be held for so long while no attempt is out.
+    pub fn new(pool: Rc<Pool>, dialect: Dialect, counters: Rc<Counters>, held_most: Duration) -> Self {
+        Upstream { pool, dialect, counters, held_most }
+    }
+
+    /// For how long a state or place may be held while no attempt is out.
+    pub fn held_most(&self) -> Duration {
+        self.held_most
     }
 
     /// Its connections.
@@ -164,11 +144,11 @@
     /// Sends the request to a host and waits as its times say for what it comes to. Dropping the future gives the
     /// attempt up: its connection closes.
     pub async fn first(
-        self: &Rc<Self>, host: HostId, payload: &Payload, times: Times, progress: &Progress,
+        self: &Rc<Self>, host: HostId, payload: &Payload, times: Times, gate: &SendGate,
     ) -> (First, Option<Load>) {
         add(&self.counters.attempts);
         let (begun, mut written) = (Instant::now(), None);
-        let exchange = self.exchange(host, payload, times, (&mut written, progress));
+        let exchange = self.exchange(host, payload, times, (&mut written, gate));
         match timeout_at(times.until, exchange).await {
             Ok((First::Ended(outcome), load)) => {
                 if matches!(outcome, Outcome::Unreachable | Outcome::Broken) {
@@ -187,12 +167,11 @@
 
     async fn exchange(
         self: &Rc<Self>, host: HostId, payload: &Payload, times: Times,
-        (written, progress): (&mut Option<WriteMark>, &Progress),
+        (written, gate): (&mut Option<WriteMark>, &SendGate),
     ) -> (First, Option<Load>) {
         let ended = |outcome| (First::Ended(outcome), None);
-        let (connection, response) = loop {
+        let (connection, response, _out) = loop {
             *written = None;
-            progress.writing.set(false);
             let connection = match times.held {
                 true => self.pool.trusted_connection(host).await,
                 false => self.pool.connection(host).await,
@@ -202,23 +181,21 @@
                 Err(NoConnection::Instance) => return ended(Outcome::Unreachable),
                 Err(NoConnection::Local) => return ended(Outcome::NotSent),
             };
-            if progress.unwanted.get() {
-                self.pool.keep(host, connection);
-                return ended(Outcome::Moot);
-            }
-            // The wait for a connection may have been too long: for the repeat, or for a host that now drains.
-            let late = times.start_by.is_some_and(|by| Instant::now() >= by);
-            if late || !self.pool.site(host).is_some_and(|site| site.ready) {
-                self.pool.keep(host, connection);
-                return ended(Outcome::NotSent);
-            }
-            progress.writing.set(true);
+            let out = match gate.pass(self.pool.site(host).as_ref(), &times) {
+                Ok(out) => out,
+                Err(denied) => {
+                    tracing::debug!("request {}: not written to host {}, {denied:?}", payload.id, host.0);
+                    self.pool.keep(host, connection);
+                    let moot = denied == Denied::Unwanted;
+                    return ended(if moot { Outcome::Moot } else { Outcome::NotSent });
+                }
+            };
             let (body, mark) = connection.body(payload.body.clone());
             *written = Some(mark.clone());
             let mut request = Request::new(body);
             self.head(host, payload, times.until, &mut request);
             match connection.sender().try_send_request(request).await {
-                Ok(response) => break (connection, response),
+                Ok(response) => break (connection, response, out),
                 // The library gives back a request of which it has written nothing; only then, and only for a
                 // kept connection that had just closed, is another one used. Nothing is ever sent twice.
                 Err(mut fault) => {
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -48,6 +48,16 @@
     overdue,
     /// Clients that went away first.
     left,
+    /// Clients' connections that their clients closed or broke off, or that had their last answer.
+    closes_ended,
+    /// Clients' connections closed by their clients behind bytes that nobody reads.
+    closes_behind_request,
+    /// Clients' connections closed as they stood idle.
+    closes_idle,
+    /// Clients' connections closed as a head took too long.
+    closes_slow_head,
+    /// Clients' connections closed to make room.
+    closes_room,
     /// Attempts sent to instances.
     attempts,
     /// Attempts that ended with a whole stream.
@@ -74,6 +84,22 @@
     attempts_cancelled,
     /// Attempts ordered but never sent.
     attempts_moot,
+    /// Attempts not written as nobody wanted the answer any more.
+    denied_unwanted,
+    /// Attempts not written as their instance had begun to drain.
+    denied_draining,
+    /// Attempts not written as they would have begun too late.
+    denied_late,
+    /// Attempts not written as the time for their answer was over.
+    denied_expired,
+    /// Violations: attempts that would have been a second one at once; they are not written.
+    violations_second_attempt,
+    /// Violations: what was held for longer than it may be.
+    violations_held_too_long,
+    /// Violations: final answers that came too late.
+    violations_answered_late,
+    /// Violations: requests that ended without an answer though their client waited.
+    violations_unanswered,
     /// Releases that reached an instance.
     releases,
     /// Releases that no instance took in time.
--- a/src/node/front/chat.rs
+++ b/src/node/front/chat.rs
@@ -20,7 +20,7 @@
 use crate::node::Core;
 use crate::node::attempt::{IDEMPOTENCY_KEY, Payload};
 use crate::node::config::Chat;
-use crate::node::counters::add;
+use crate::node::counters::{Counters, add};
 use crate::node::request::Answer;
 use crate::node::shutdown::Shutdown;
 
@@ -159,6 +159,10 @@
 }
 
 impl Front for ChatFront {
+    fn counters(&self) -> Rc<Counters> {
+        self.core.counters.clone()
+    }
+
     async fn handle(self, request: Request<Incoming>) -> Reply {
         let mut reply = self.route(request).await.unwrap_or_else(|fault| {
             let (status, ..) = fault.form();
--- /dev/null
+++ b/src/node/front/close.rs
@@ -0,0 +1,74 @@
+//! The one place that decides whether a client's connection may be closed now, and the reasons that are logged and
+//! counted for each close.
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use super::client_state::Stage;
+use crate::node::counters::{Counters, add};
+
+/// For a connection that has said nothing before it may make room: its first bytes may be on their way.
+const SILENT_LEAST: Duration = Duration::from_millis(250);
+/// The same for one that has begun a head.
+const BEGUN_LEAST: Duration = Duration::from_millis(1_000);
+/// For a client to read its last answer, which a close over unread bytes would destroy.
+const LEAVING_LEAST: Duration = Duration::from_millis(250);
+
+/// Why a client's connection is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CloseReason {
+    /// Its client closed it or broke it off, or it has its last answer.
+    Ended,
+    /// Its client closed it behind bytes that nobody reads.
+    ClosedBehindRequest,
+    /// It stood idle for too long.
+    Idle,
+    /// Its head took too long.
+    SlowHead,
+    /// It made room for others.
+    Room,
+}
+
+impl CloseReason {
+    /// The reason for which a connection at this stage is closed when its time is up.
+    pub fn overdue(stage: Stage) -> Self {
+        match stage {
+            Stage::Silent | Stage::Idle => CloseReason::Idle,
+            _ => CloseReason::SlowHead,
+        }
+    }
+
+    /// Whether nothing has been read that is owed an answer, and no answer is on its way: the connection can be closed
+    /// at once, and what crosses the close stays unread.
+    pub fn at_once(self) -> bool {
+        matches!(self, CloseReason::Idle | CloseReason::Room)
+    }
+
+    /// The counter of such closes.
+    pub fn counter(self, counters: &Counters) -> &Cell<u64> {
+        match self {
+            CloseReason::Ended => &counters.closes_ended,
+            CloseReason::ClosedBehindRequest => &counters.closes_behind_request,
+            CloseReason::Idle => &counters.closes_idle,
+            CloseReason::SlowHead => &counters.closes_slow_head,
+            CloseReason::Room => &counters.closes_room,
+        }
+    }
+
+    /// Counts and logs a close.
+    pub fn record(self, counters: &Counters, connection: u64, stage: Stage) {
+        add(self.counter(counters));
+        tracing::debug!("intake: connection {connection} closed at stage {stage:?}: {self:?}");
+    }
+}
+
+/// Whether a connection that has been at a stage for so long may be closed to make room for others.
+pub fn may_make_room(stage: Stage, age: Duration) -> bool {
+    match stage {
+        Stage::Idle => true,
+        Stage::Leaving => age >= LEAVING_LEAST,
+        Stage::Silent => age >= SILENT_LEAST,
+        Stage::Begun => age >= BEGUN_LEAST,
+        Stage::Open | Stage::Answered => false,
+    }
+}
--- a/src/node/front/connection.rs
+++ b/src/node/front/connection.rs
@@ -11,8 +11,9 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 
-use super::client_state::{ClientState, Stage};
+use super::client_state::ClientState;
 use super::client_stream::{ClientIo, ClientStream};
+use super::close::CloseReason;
 use super::intake::Place;
 use super::{BUFFER, Front, Reply};
 use crate::node::shutdown::{Pending, STILL_ARRIVING, Shutdown};
@@ -40,7 +41,7 @@
 
 /// Serves a connection until its client leaves, it has stood idle, or the process ends.
 pub async fn serve_connection(io: impl ClientIo, front: impl Front, shutdown: Shutdown, held: Held) {
-    let client = held.0.client.clone();
+    let (client, counters) = (held.0.client.clone(), front.counters());
     let stream = ClientStream::new(io, client.clone());
     let last = stream.handle();
     let of_request = client.clone();
@@ -56,29 +57,29 @@
     let mut overdue = Box::pin(client.overdue());
     let mut closed = Box::pin(last.closed_behind_request());
     let mut drains = false;
-    loop {
+    let reason = loop {
         tokio::select! {
             biased;
             // First: a request that crosses this must not be begun and then dropped.
-            () = client.evicted() => return,
+            () = client.evicted() => break CloseReason::Room,
             // A client that breaks off, or a stream that broke, is told by the request's own task.
             ended = &mut served => {
                 if let Err(fault) = ended {
-                    tracing::debug!("intake: connection ended: {fault}");
+                    tracing::debug!("intake: connection {} ended: {fault}", held.0.number);
                 }
-                break;
+                break CloseReason::Ended;
             }
-            // Nothing was read that is owed an answer, and what crosses this stays unread.
-            () = &mut overdue => match client.stage() {
-                Stage::Silent | Stage::Idle => return,
-                _ => break,
-            },
-            () = &mut closed => break,
+            () = &mut overdue => break CloseReason::overdue(client.stage()),
+            () = &mut closed => break CloseReason::ClosedBehindRequest,
             () = &mut ending, if !drains => {
                 drains = true;
                 served.as_mut().graceful_shutdown();
             }
         }
+    };
+    reason.record(&counters, held.0.number, client.stage());
+    if reason.at_once() {
+        return;
     }
     drop((served, closed));
     // The process stays until the client has closed: its end would reset what the client has not read.
--- a/src/node/front/intake.rs
+++ b/src/node/front/intake.rs
@@ -8,16 +8,11 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
-use super::client_state::{ClientState, Stage};
+use super::client_state::ClientState;
+use super::close::may_make_room;
 
 /// Connections past the limit that are still taken, to be told so and closed.
 const SPARE: usize = 16;
-/// For a connection that has said nothing before it may make room: its first bytes may be on their way.
-const SILENT_LEAST: Duration = Duration::from_millis(250);
-/// The same for one that has begun a head.
-const BEGUN_LEAST: Duration = Duration::from_millis(1_000);
-/// For a client to read its last answer, which a close over unread bytes would destroy.
-const LEAVING_LEAST: Duration = Duration::from_millis(250);
 /// Between looks for a connection that may make room, while none may.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 
@@ -34,7 +29,8 @@
 /// A connection's place in the intake, given back when dropped.
 pub struct Place {
     intake: Rc<Intake>,
-    number: u64,
+    /// Its number, for the log.
+    pub number: u64,
     /// The state of its connection.
     pub client: Rc<ClientState>,
 }
@@ -121,13 +117,7 @@
 
     /// Of those that may go, the first by stage and time.
     fn make_room(&self) {
-        let may_go = |client: &&Rc<ClientState>| match client.stage() {
-            Stage::Leaving => client.age() >= LEAVING_LEAST,
-            Stage::Idle => true,
-            Stage::Silent => client.age() >= SILENT_LEAST,
-            Stage::Begun => client.age() >= BEGUN_LEAST,
-            Stage::Open | Stage::Answered => false,
-        };
+        let may_go = |client: &&Rc<ClientState>| may_make_room(client.stage(), client.age());
         let connections = self.connections.borrow();
         let first = connections.values().filter(may_go).min_by_key(|client| client.order());
         if let Some(client) = first {
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -4,6 +4,7 @@
 pub mod chat;
 pub mod client_state;
 pub mod client_stream;
+pub mod close;
 pub mod connection;
 pub mod intake;
 pub mod platform;
@@ -27,6 +28,7 @@
 
 use super::Core;
 use super::attempt::Payload;
+use super::counters::Counters;
 use super::relay::{Piece, StreamBroken};
 use super::request::{Answer, Caller, run_request};
 use super::shutdown::Shutdown;
@@ -69,6 +71,9 @@
 
 /// Answers the requests of one connection in a protocol of its own.
 pub trait Front: Clone + 'static {
+    /// What is counted for this front.
+    fn counters(&self) -> Rc<Counters>;
+
     /// Answers one request. Dropping the future means that the client has left.
     fn handle(self, request: Request<Incoming>) -> impl Future<Output = Reply>;
 }
--- a/src/node/front/platform.rs
+++ b/src/node/front/platform.rs
@@ -19,7 +19,7 @@
 use crate::api::*;
 use crate::node::Core;
 use crate::node::attempt::{IDEMPOTENCY_KEY, Payload};
-use crate::node::counters::add;
+use crate::node::counters::{Counters, add};
 use crate::node::request::Answer;
 use crate::node::shutdown::Shutdown;
 use crate::wire::Names;
@@ -121,6 +121,10 @@
 }
 
 impl Front for PlatformFront {
+    fn counters(&self) -> Rc<Counters> {
+        self.core.counters.clone()
+    }
+
     async fn handle(self, request: Request<Incoming>) -> Reply {
         let mut reply = match (request.method(), request.uri().path()) {
             (_, "/v1/chat/completions") => match self.complete(request).await {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -18,6 +18,7 @@
 pub mod release;
 pub mod reload;
 pub mod request;
+pub mod send_gate;
 pub mod shutdown;
 pub mod start_times;
 pub mod target_list;
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -6,18 +6,22 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
 
-use super::attempt::{First, Payload, Progress, Times};
+use super::attempt::{First, Payload};
 use super::counters::add;
 use super::events::{Events, Form};
 use super::held::HeldState;
 use super::planner::{End, Order, RequestHandle, SendOrder};
 use super::relay::{self, Passed, Piece, StreamBroken};
+use super::send_gate::{SendGate, Times};
 use super::{Core, span};
 use crate::api::{AttemptId, Load, Micros, NewRequest, Outcome};
 
 /// Past the deadline, after which a request without a decision is answered as failed. The rules allow more.
 const OVERDUE: Duration = Duration::from_millis(15);
 
+/// Past the deadline, after which a final answer counts as lost.
+const LATE_MOST: Duration = Duration::from_millis(500);
+
 /// A request's answer, for a front to put into its own words.
 pub enum Answer {
     /// A stream or a whole answer of one instance.
@@ -54,6 +58,11 @@
         }
     }
 
+    /// Whether the client is there and has no answer.
+    fn waits(&self) -> bool {
+        self.0.as_ref().is_some_and(|sender| !sender.is_closed())
+    }
+
     /// Gives the final answer, once; false when the client has left.
     fn answer(&mut self, answer: Answer) -> bool {
         self.0.take().is_some_and(|sender| sender.send(answer).is_ok())
@@ -93,10 +102,12 @@
     handle: RequestHandle,
     caller: Caller,
     held: HeldState,
+    gate: Rc<SendGate>,
     deadline: Instant,
     /// Its answer comes in one piece.
     whole: bool,
     attempts: u32,
+    last_outcome: Option<Outcome>,
     /// The client needs no answer any more; the planner has been told so.
     over: bool,
 }
@@ -114,10 +125,12 @@
     add(&core.counters.taken);
     let mut task = RequestTask {
         held: HeldState::new(core.upstream.clone(), id.clone()),
+        gate: Rc::new(SendGate::new(core.counters.clone())),
         deadline: Instant::now() + span(ask.time_left),
         whole: ask.whole,
         handle: core.planner.arrive(ask),
         attempts: 0,
+        last_outcome: None,
         over: false,
         core,
         id,
@@ -128,6 +141,10 @@
         drop((payload, room));
         task.stream(events, attempt).await;
     }
+    if task.caller.waits() {
+        add(&task.core.counters.violations_unanswered);
+        tracing::error!("violation: request {}: ended with no answer", task.id);
+    }
     task.held.end().await;
 }
 
@@ -181,15 +198,33 @@
         if self.over {
             return;
         }
-        let counters = &self.core.counters;
-        let given = match answer {
-            Answer::Refused { .. } => &counters.refused,
-            _ => &counters.failed,
+        let counters = self.core.counters.clone();
+        let (given, word) = match answer {
+            Answer::Refused { .. } => (&counters.refused, "refused"),
+            _ => (&counters.failed, "failed"),
         };
-        tracing::debug!("request {}: answered, nothing more is sent", self.id);
+        self.log_answer(word);
         add(if self.caller.answer(answer) { given } else { &counters.left });
     }
 
+    /// Logs a final answer with what led to it, and counts one that comes too late.
+    fn log_answer(&self, word: &str) {
+        let now = Instant::now();
+        let (left, late) =
+            (self.deadline.saturating_duration_since(now), now.saturating_duration_since(self.deadline));
+        let last = self.last_outcome.map_or("none".to_owned(), |outcome| format!("{outcome:?}"));
+        tracing::debug!(
+            "request {}: {word} after {} attempts, the last one {last}; {} ms were left",
+            self.id,
+            self.attempts,
+            left.as_millis()
+        );
+        if late > LATE_MOST {
+            add(&self.core.counters.violations_answered_late);
+            tracing::error!("violation: request {}: {word} {} ms too late", self.id, late.as_millis());
+        }
+    }
+
     fn client_left(&mut self) {
         tracing::debug!("request {}: its client left", self.id);
         add(&self.core.counters.left);
@@ -200,6 +235,7 @@
     fn overdue(&mut self) {
         tracing::error!("request {}: no decision by its deadline", self.id);
         add(&self.core.counters.overdue);
+        self.log_answer("failed");
         self.caller.answer(Answer::Failed);
         self.end_early();
     }
@@ -207,6 +243,7 @@
     /// No answer is needed any more; the planner forgets the request.
     fn end_early(&mut self) {
         self.over = true;
+        self.gate.close();
         self.handle.left();
     }
 
@@ -232,16 +269,17 @@
         match first {
             First::Began(events) => Next::Stream(events, attempt),
             First::Read(kept) => {
-                self.held.any = true;
+                self.held.waits();
                 self.ended(&attempt, Outcome::Read, (kept, load))
             }
             First::Ended(outcome) => {
                 let ran = !outcome.never_ran();
                 if prefill && ran {
                     // Guards the pin limit: the prompt may have been read although the answer was lost.
-                    self.held.any = true;
+                    self.held.waits();
                     self.held.release();
                 }
+                self.held.tried(outcome);
                 self.ended(&attempt, outcome, (0.0, load))
             }
         }
@@ -260,7 +298,8 @@
     }
 
     /// Tells the planner how an attempt ended.
-    fn ended(&self, attempt: &Attempt, outcome: Outcome, (kept, load): (f64, Option<Load>)) -> Next {
+    fn ended(&mut self, attempt: &Attempt, outcome: Outcome, (kept, load): (f64, Option<Load>)) -> Next {
+        self.last_outcome = Some(outcome);
         self.core.counters.attempt_ended(outcome);
         let took = attempt.begun.elapsed().as_micros() as Micros;
         tracing::debug!(
@@ -276,14 +315,13 @@
     /// One attempt up to its first event. A client that leaves is told to the planner, which withdraws the attempt.
     async fn until_first_event(&mut self, attempt: &Attempt, payload: &Payload) -> (First, Option<Load>) {
         let withdrawn = (First::Ended(Outcome::Cancelled), None);
-        let progress = Progress::default();
         let times = Times {
             until: (attempt.begun + span(attempt.send.time_out)).min(self.deadline),
             start_by: attempt.send.start_within.map(|within| attempt.begun + span(within)),
-            held: self.held.any,
+            held: self.held.any(),
         };
-        let upstream = self.core.upstream.clone();
-        let first = upstream.first(attempt.send.host, payload, times, &progress);
+        let (upstream, gate) = (self.core.upstream.clone(), self.gate.clone());
+        let first = upstream.first(attempt.send.host, payload, times, &gate);
         tokio::pin!(first);
         loop {
             let wake = tokio::select! {
@@ -309,7 +347,7 @@
                 Wake::Overdue => self.overdue(),
             }
             // An instance need not take a withdrawal; what it has not been sent it is spared all the same.
-            if self.over && !progress.unwanted() {
+            if self.over && !self.gate.attempt_out() {
                 return (First::Ended(Outcome::Moot), None);
             }
         }
@@ -317,7 +355,7 @@
 
     /// Passes the stream on: it is this client's from its first event on, and no deadline runs any more.
     async fn stream(&mut self, mut events: Box<Events>, attempt: Attempt) {
-        self.held.any = false;
+        self.held.taken();
         if !self.whole {
             // A whole answer tells nothing of the time to a first token.
             let took = attempt.begun.elapsed().as_micros() as Micros;
--- a/tests/client_connection.rs
+++ b/tests/client_connection.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use croftsill::node::counters::Counters;
 use croftsill::node::front::client_state::{ClientState, Stage};
 use croftsill::node::front::connection::serve_connection;
 use croftsill::node::front::intake::Intake;
@@ -28,6 +29,10 @@
 struct FixedAnswer;
 
 impl Front for FixedAnswer {
+    fn counters(&self) -> Rc<Counters> {
+        Rc::default()
+    }
+
     async fn handle(self, mut request: Request<Incoming>) -> Reply {
         let _ = request.body_mut().collect().await;
         Response::new(Either::Left(Full::new(Bytes::from_static(ANSWER.as_bytes()))))
--- a/tests/connection_wait.rs
+++ b/tests/connection_wait.rs
@@ -5,12 +5,13 @@
 
 use bytes::Bytes;
 use croftsill::api::*;
-use croftsill::node::attempt::{Dialect, First, Payload, Progress, Times, Upstream};
+use croftsill::node::attempt::{Dialect, First, Payload, Upstream};
 use croftsill::node::counters::Counters;
 use croftsill::node::planner::Planner;
 use croftsill::node::pool::{Connection, Pool, PoolLimits, Site};
 use croftsill::node::request::{Caller, run_request};
-use croftsill::node::{Clock, Core};
+use croftsill::node::send_gate::{SendGate, Times};
+use croftsill::node::{Clock, Core, span};
 use hyper::http::uri::PathAndQuery;
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -40,9 +41,10 @@
     for m in &members {
         pool.place(m.host, Some(Site { addr, role: settings.kinds[m.kind.0].role, ready: true }));
     }
+    let held_most = span(settings.rules.pin_limit);
     let (planner, _orders) = Planner::start(settings, 5, Clock::start());
     planner.hosts(true, members.to_vec());
-    let upstream = Rc::new(Upstream::new(pool, Dialect::Platform, counters.clone()));
+    let upstream = Rc::new(Upstream::new(pool, Dialect::Platform, counters.clone(), held_most));
     Core { planner, upstream, counters }
 }
 
@@ -133,10 +135,11 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let core = core(&listener);
     let taken = take_room(&core, &listener).await;
-    let upstream = core.upstream.clone();
+    let (upstream, counters) = (core.upstream.clone(), core.counters.clone());
     let attempt = spawn_local(async move {
+        let gate = SendGate::new(counters);
         let times = Times { until: Instant::now() + PATIENCE, start_by, held: false };
-        let (first, _) = upstream.first(HostId(rig::PREFILL), &payload(), times, &Progress::default()).await;
+        let (first, _) = upstream.first(HostId(rig::PREFILL), &payload(), times, &gate).await;
         let First::Ended(outcome) = first else { panic!("nobody answers") };
         outcome
     });
--- a/tests/listener_close.rs
+++ b/tests/listener_close.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use croftsill::node::counters::Counters;
 use croftsill::node::front::intake::Intake;
 use croftsill::node::front::{Front, Reply, serve};
 use croftsill::node::shutdown::{Shutdown, Signals};
@@ -18,6 +19,10 @@
 struct FixedAnswer;
 
 impl Front for FixedAnswer {
+    fn counters(&self) -> Rc<Counters> {
+        Rc::default()
+    }
+
     async fn handle(self, _: Request<Incoming>) -> Reply {
         Response::new(Either::Left(Full::new(Bytes::from_static(b"answer"))))
     }
