Let go of all that is held at once where a state is gone

Cause: a 410 put the request back into its tier with nothing let go of; a decode server that had stayed silent before may have fetched the state, and the release came only before the next read, 1.5 to 2.4 s later. Change: the module releases with the 410.

--- a/src/logic/attempts.rs
+++ b/src/logic/attempts.rs
@@ -119,7 +119,12 @@
         }
         match (r.stage, outcome) {
             (Stage::Reading, Outcome::Read) => (r.stage, r.ready_since) = (Stage::Ready, now),
-            (Stage::Reading, _) | (_, Outcome::NoState) => self.hold(id),
+            (Stage::Reading, _) => self.hold(id),
+            (_, Outcome::NoState) => {
+                // A host that stayed silent may have fetched it.
+                out.push(Action::Release(id));
+                self.hold(id);
+            }
             (_, Outcome::Moot) => self.give_up(id, out),
             _ => {
                 let ran = !outcome.never_ran();
