--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -244,7 +244,9 @@
 
 #[test]
 fn rule_5_all_is_let_go_of_where_a_state_is_gone_before_the_prompt_waits_to_be_read_anew() {
-    let mut rig = Rig::new(settings(), &[member(PREFILL, 0), member(DECODE, 1), member(11, 1)]);
+    let mut set = settings();
+    set.limits.max_attempts = 8;
+    let mut rig = Rig::new(set, &[member(PREFILL, 0), member(DECODE, 1), member(11, 1)]);
     rig.request(1);
     let first = sent_to(&rig.end(1, PREFILL, Outcome::Read)).expect("sent on");
     let second = sent_to(&rig.end(1, first, Outcome::TimedOut)).expect("sent on again");
