--- a/src/logic/slow_start.rs
+++ b/src/logic/slow_start.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-const SLOW_START_SHARE: f64 = 0.5; // of a cold host's budget in use: sends of many routers bunch by chance
+const SLOW_START_SHARE: f64 = 0.65; // of a cold host's budget in use: sends of many routers bunch by chance
 
 impl Host {
     /// Share of its capacity that a starting host has, taken to grow evenly.
--- a/src/node/release.rs
+++ b/src/node/release.rs
@@ -13,7 +13,7 @@
 
 /// For an instance to take the call before another one is asked beside it. The module has used most of the pin limit
 /// when it asks, so a silent instance must not use up the rest.
-const EACH: Duration = Duration::from_millis(80);
+const EACH: Duration = Duration::from_millis(50);
 /// For an instance to take the call at all.
 const CALL: Duration = Duration::from_millis(400);
 /// After which a release is given up: what is held has been held far too long by then.
--- a/tests/soak/judge.rs
+++ b/tests/soak/judge.rs
@@ -55,15 +55,26 @@
         *answers.entry(answer).or_default() += 1;
     }
     let count = judge.breaks.len();
+    judge.breaks.truncate(SHOWN);
+    let traces: Vec<_> = judge.breaks.iter().filter_map(|broken| trace(broken, logs)).collect();
+    judge.breaks.extend(traces);
     let summary = format!(
         "{} requests, {answers:?}, troubles {:?}, {count} breaks",
         data.requests.len(),
         data.troubles
     );
-    judge.breaks.truncate(SHOWN);
     Verdict { summary, breaks: judge.breaks }
 }
 
+/// What a router's log says of the request that a break names.
+fn trace(broken: &str, logs: &str) -> Option<String> {
+    let words = broken.split([' ', ':', ',']);
+    let id = words.into_iter().find(|word| word.starts_with('c') && word.contains('-'))?;
+    let named = format!("request {id}:");
+    let lines: Vec<_> = logs.lines().filter(|line| line.contains(&named)).collect();
+    Some(lines.join("\n"))
+}
+
 impl Judge<'_> {
     fn breaks(&mut self, rule: &str, id: &str, request: &RequestLog, detail: String) {
         let since =
--- a/tests/soak/server.rs
+++ b/tests/soak/server.rs
@@ -33,6 +33,8 @@
     hangs_until: Cell<Option<Instant>>,
     task: RefCell<Option<JoinHandle<()>>>,
     started_ms: Cell<u64>,
+    /// A change of its life is under way.
+    busy: Cell<bool>,
 }
 
 /// An attempt that ends with its server, if not before.
@@ -70,6 +72,7 @@
             hangs_until: Cell::new(None),
             task: RefCell::default(),
             started_ms: Cell::new(0),
+            busy: Cell::new(false),
         });
         server.run();
         server.list("Ready");
@@ -102,8 +105,29 @@
         self.hangs_until.set(Some(Instant::now() + time));
     }
 
-    /// Dies, with all its connections, and comes back cold; states that waited are gone.
+    /// Drains, leaves the list, and comes back cold some time later.
+    pub async fn drain_and_return(self: &Rc<Self>, drains_for: Duration, after: Duration) {
+        if self.busy.replace(true) {
+            return;
+        }
+        self.list("Terminating");
+        sleep(drains_for).await;
+        self.list("Gone");
+        self.come_back(after).await;
+        self.busy.set(false);
+    }
+
+    /// Dies without a word, and comes back cold.
     pub async fn die_and_return(self: &Rc<Self>, after: Duration) {
+        if self.busy.replace(true) {
+            return;
+        }
+        self.come_back(after).await;
+        self.busy.set(false);
+    }
+
+    /// Ends all its connections, and starts anew; states that waited are gone.
+    async fn come_back(self: &Rc<Self>, after: Duration) {
         let task = self.task.borrow_mut().take();
         task.iter().for_each(JoinHandle::abort);
         self.world.data.borrow_mut().states.retain(|_, at| *at != self.name);
