Name the retry time, events and connections as the field does

Cause: names of the earlier house style in code that this change touches. Change: come_back is retry_after, Shelf and shelves are HostConnections by host, take is handle_event, push or register by what it does; no behaviour changes.

--- a/src/api.rs
+++ b/src/api.rs
@@ -134,7 +134,7 @@
     /// Most attempts for one request.
     pub max_attempts: u32,
     /// Longest come-back time that clients heed; none where they are not told one.
-    pub come_back: Option<Micros>,
+    pub retry_after: Option<Micros>,
     /// A decode server may have a place held ahead.
     pub ahead: bool,
     /// A broken stream's client comes again and goes on from its last token.
@@ -372,7 +372,7 @@
         /// Which request.
         request: RequestId,
         /// When the client should come back.
-        come_back: Option<Micros>,
+        retry_after: Option<Micros>,
     },
     /// Final answer: failed, nothing promised.
     Fail(RequestId),
--- a/src/logic/admission.rs
+++ b/src/logic/admission.rs
@@ -15,7 +15,7 @@
         let local = self.set.limits.local_prefill;
         let both = |k: &Kind| k.role == Role::Mixed || (k.role == Role::Decode && local);
         let able = self.set.limits.max_attempts >= 2 || self.set.kinds.iter().any(both);
-        let refusal = Action::Refuse { request: ask.id, come_back: None };
+        let refusal = Action::Refuse { request: ask.id, retry_after: None };
         let class = self.set.classes.get(ask.class.0).filter(|_| able);
         let Some(class) = class else { return out.push(refusal) };
         let token_aim = class.token_aim.max(1) as f64;
--- a/src/logic/attempts.rs
+++ b/src/logic/attempts.rs
@@ -182,7 +182,7 @@
         out.extend((r.sent > 0).then_some(Action::Release(id)));
         let repeats =
             matches!(self.set.classes[r.ask.class.0].effect, Effect::Safe | Effect::Keyed(Group::All, _));
-        let refusal = Action::Refuse { request: id, come_back: self.set.limits.come_back };
+        let refusal = Action::Refuse { request: id, retry_after: self.set.limits.retry_after };
         out.push(if repeats || r.may_have_run.is_none() { refusal } else { Action::Fail(id) });
         self.forget(id);
     }
--- a/src/logic/mod.rs
+++ b/src/logic/mod.rs
@@ -212,7 +212,7 @@
     pub fn handle(&mut self, now: Micros, events: &[Event], out: &mut Vec<Action>) {
         self.since.get_or_insert(now);
         self.earn(now);
-        events.iter().for_each(|event| self.take(now, event, out));
+        events.iter().for_each(|event| self.handle_event(now, event, out));
         self.follow(now, out);
         self.send_ready(now, out);
         self.sort_tiers(now, out);
@@ -221,7 +221,7 @@
         self.set_wake(now, out);
     }
 
-    fn take(&mut self, now: Micros, event: &Event, out: &mut Vec<Action>) {
+    fn handle_event(&mut self, now: Micros, event: &Event, out: &mut Vec<Action>) {
         match event {
             Event::Hosts { whole, members } => self.hosts_told(now, *whole, members),
             Event::HostsFailed => self.following = false,
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -321,7 +321,7 @@
             limits: crate::api::Limits {
                 cancel: true,
                 max_attempts: file.max_attempts,
-                come_back: Some(micros(file.retry_after_ms, "retry_after_ms")?),
+                retry_after: Some(micros(file.retry_after_ms, "retry_after_ms")?),
                 ..Default::default()
             },
             ..Settings::default()
--- a/src/node/events.rs
+++ b/src/node/events.rs
@@ -110,7 +110,7 @@
                     // Trailers tell nothing that is passed on.
                     let Some(bytes) = frame.into_data().ok().filter(|b| !b.is_empty()) else { continue };
                     let whole = match &mut self.framer {
-                        Some(framer) => framer.take(bytes),
+                        Some(framer) => framer.push(bytes),
                         None => Ok(bytes),
                     };
                     match whole {
@@ -183,7 +183,7 @@
 
 impl Framer {
     /// Takes bytes in and gives all events that are whole; nothing while there are none.
-    fn take(&mut self, bytes: Bytes) -> Result<Bytes, Malformed> {
+    fn push(&mut self, bytes: Bytes) -> Result<Bytes, Malformed> {
         if self.held.is_empty() && whole_events(&bytes) == bytes.len() {
             self.check(&bytes)?;
             return Ok(bytes);
--- a/src/node/front/chat.rs
+++ b/src/node/front/chat.rs
@@ -121,7 +121,7 @@
         let mut reply = object(status, &error);
         let headers = reply.headers_mut();
         match self {
-            Fault::Refused(come_back) => set_retry_after(headers, *come_back),
+            Fault::Refused(retry_after) => set_retry_after(headers, *retry_after),
             // Public client libraries repeat most statuses by themselves unless told otherwise.
             _ => drop(headers.insert(SHOULD_RETRY, HeaderValue::from_static("false"))),
         }
@@ -248,7 +248,7 @@
                 Ok(text) => whole(form.status, form.content_type, text),
                 Err(_) => Fault::Failed.reply(),
             },
-            Ok(Answer::Refused { come_back }) => Fault::Refused(come_back).reply(),
+            Ok(Answer::Refused { retry_after }) => Fault::Refused(retry_after).reply(),
             Ok(Answer::Failed) | Err(_) => Fault::Failed.reply(),
         };
         shown.map(|id| reply.headers_mut().insert(REQUEST_ID, id));
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -49,7 +49,7 @@
 
 /// What a client that found no room is told: a time to come back only where the settings allow one.
 fn shed_wait(limits: &Limits) -> Option<Micros> {
-    limits.come_back.map(|longest| longest.min(SHED_WAIT))
+    limits.retry_after.map(|longest| longest.min(SHED_WAIT))
 }
 
 /// Whether a request that has just been read must be refused: more clients are connected than are served, or the process
@@ -59,8 +59,8 @@
 }
 
 /// Tells a client when to come back, in seconds, if it is to be told at all.
-fn set_retry_after(headers: &mut HeaderMap, come_back: Option<Micros>) {
-    let seconds = come_back.map(|micros| (micros as f64 / 1e6).to_string());
+fn set_retry_after(headers: &mut HeaderMap, retry_after: Option<Micros>) {
+    let seconds = retry_after.map(|micros| (micros as f64 / 1e6).to_string());
     if let Some(seconds) = seconds.and_then(|seconds| HeaderValue::from_str(&seconds).ok()) {
         headers.insert(RETRY_AFTER, seconds);
     }
--- a/src/node/front/platform.rs
+++ b/src/node/front/platform.rs
@@ -90,7 +90,7 @@
 
 impl OpenId {
     /// Takes an id that is new.
-    fn take(ids: &Rc<RefCell<Ids>>, id: &Rc<str>) -> Option<Self> {
+    fn register(ids: &Rc<RefCell<Ids>>, id: &Rc<str>) -> Option<Self> {
         let new = ids.borrow_mut().known.insert(id.clone());
         new.then(|| OpenId(ids.clone(), id.clone()))
     }
@@ -184,7 +184,7 @@
         if takes_nothing_new(&self.intake, &self.shutdown) {
             return Ok(self.shed());
         }
-        let open = OpenId::take(&self.ids, &id).ok_or_else(|| Malformed::Duplicate(id.to_string()))?;
+        let open = OpenId::register(&self.ids, &id).ok_or_else(|| Malformed::Duplicate(id.to_string()))?;
         ask.time_left -= ON_THE_WAY;
         let target = request.uri().path_and_query().cloned().ok_or(Malformed::Path)?;
         let content_type = request.headers().get(CONTENT_TYPE).cloned();
@@ -193,7 +193,7 @@
         let answer = begin(&self.core, ask, (payload, room), (open, self.shutdown.pending()));
         Ok(match answer.await {
             Ok(Answer::Events { form, pieces }) => stream(form.content_type, pieces),
-            Ok(Answer::Refused { come_back }) => refusal(come_back),
+            Ok(Answer::Refused { retry_after }) => refusal(retry_after),
             Ok(Answer::Failed) | Err(_) => {
                 plain(StatusCode::BAD_GATEWAY, "the request failed and may have run\n")
             }
@@ -277,9 +277,9 @@
     reply
 }
 
-fn refusal(come_back: Option<Micros>) -> Reply {
+fn refusal(retry_after: Option<Micros>) -> Reply {
     let mut reply = plain(StatusCode::TOO_MANY_REQUESTS, "refused: trying again is harmless\n");
-    set_retry_after(reply.headers_mut(), come_back);
+    set_retry_after(reply.headers_mut(), retry_after);
     reply
 }
 
--- a/src/node/planner.rs
+++ b/src/node/planner.rs
@@ -203,7 +203,7 @@
                 self.order(request, Order::Send(SendOrder { host, time_out, start_within }));
             }
             Action::Cancel { request, attempt } => self.order(request, Order::Cancel(attempt)),
-            Action::Refuse { request, come_back } => self.order(request, Order::Refuse(come_back)),
+            Action::Refuse { request, retry_after } => self.order(request, Order::Refuse(retry_after)),
             Action::Fail(request) => self.order(request, Order::Fail),
             Action::Release(request) => self.order(request, Order::Release),
             Action::Move(request) => self.order(request, Order::Move),
--- a/src/node/pool.rs
+++ b/src/node/pool.rs
@@ -85,7 +85,7 @@
 }
 
 #[derive(Default)]
-struct Shelf {
+struct HostConnections {
     site: Option<Site>,
     idle: Vec<Connection>,
     heard: Option<Instant>,
@@ -233,7 +233,7 @@
 
 /// All connections to one fleet.
 pub struct Pool {
-    shelves: RefCell<BTreeMap<HostId, Shelf>>,
+    by_host: RefCell<BTreeMap<HostId, HostConnections>>,
     limits: PoolLimits,
     room: Arc<Semaphore>,
     counters: Rc<Counters>,
@@ -244,34 +244,34 @@
     pub fn new(mut limits: PoolLimits, counters: Rc<Counters>) -> Self {
         limits.idle = limits.idle.min(IDLE_LONGEST);
         let room = Arc::new(Semaphore::new(limits.connections));
-        Pool { shelves: RefCell::default(), limits, room, counters }
+        Pool { by_host: RefCell::default(), limits, room, counters }
     }
 
     /// Takes in where an instance listens, or that it is gone. A new address makes old connections useless.
     pub fn place(&self, host: HostId, site: Option<Site>) {
-        let mut shelves = self.shelves.borrow_mut();
-        let Some(site) = site else { return drop(shelves.remove(&host)) };
-        let shelf = shelves.entry(host).or_default();
-        if shelf.site.as_ref().is_none_or(|old| old.addr != site.addr) {
-            shelf.idle.clear();
+        let mut by_host = self.by_host.borrow_mut();
+        let Some(site) = site else { return drop(by_host.remove(&host)) };
+        let entry = by_host.entry(host).or_default();
+        if entry.site.as_ref().is_none_or(|old| old.addr != site.addr) {
+            entry.idle.clear();
         }
-        shelf.site = Some(site);
+        entry.site = Some(site);
     }
 
     /// Where an instance listens.
     pub fn site(&self, host: HostId) -> Option<Site> {
-        self.shelves.borrow().get(&host)?.site.clone()
+        self.by_host.borrow().get(&host)?.site.clone()
     }
 
     /// The hosts known.
     pub fn hosts(&self) -> Vec<HostId> {
-        self.shelves.borrow().keys().copied().collect()
+        self.by_host.borrow().keys().copied().collect()
     }
 
     /// Ready hosts, the likeliest to answer first: those with a connection at hand, last heard from first.
     pub fn likeliest(&self) -> Vec<HostId> {
-        let shelves = self.shelves.borrow();
-        let ready = shelves.iter().filter(|(_, s)| s.site.as_ref().is_some_and(|site| site.ready));
+        let by_host = self.by_host.borrow();
+        let ready = by_host.iter().filter(|(_, s)| s.site.as_ref().is_some_and(|site| site.ready));
         let mut hosts: Vec<_> = ready.map(|(&id, s)| (s.idle.is_empty(), s.heard, id)).collect();
         hosts.sort_by(|a, b| (a.0, b.1).cmp(&(b.0, a.1)));
         hosts.into_iter().map(|(_, _, id)| id).collect()
@@ -307,8 +307,8 @@
     }
 
     fn take_idle(&self, host: HostId, within: Duration) -> Option<Connection> {
-        let mut shelves = self.shelves.borrow_mut();
-        let idle = &mut shelves.get_mut(&host)?.idle;
+        let mut by_host = self.by_host.borrow_mut();
+        let idle = &mut by_host.get_mut(&host)?.idle;
         idle.retain(|c| c.since.elapsed() < self.limits.idle && !c.sender.is_closed());
         let settled = idle.iter().rposition(|c| (SETTLED..=within).contains(&c.since.elapsed()))?;
         Some(idle.remove(settled))
@@ -339,8 +339,8 @@
             return Ok(permit);
         }
         let oldest = {
-            let mut shelves = self.shelves.borrow_mut();
-            let idle = shelves.values_mut().filter(|s| !s.idle.is_empty());
+            let mut by_host = self.by_host.borrow_mut();
+            let idle = by_host.values_mut().filter(|s| !s.idle.is_empty());
             idle.min_by_key(|s| s.idle[0].since).map(|s| s.idle.remove(0))
         };
         drop(oldest);
@@ -349,35 +349,35 @@
 
     /// Keeps a connection on which an exchange has ended whole.
     pub fn keep(&self, host: HostId, mut connection: Connection) {
-        let mut shelves = self.shelves.borrow_mut();
-        let Some(shelf) = shelves.get_mut(&host) else { return };
+        let mut by_host = self.by_host.borrow_mut();
+        let Some(entry) = by_host.get_mut(&host) else { return };
         let now = Instant::now();
-        shelf.heard = Some(now);
-        if !connection.sender.is_closed() && shelf.site.is_some() && shelf.idle.len() < IDLE_MOST {
+        entry.heard = Some(now);
+        if !connection.sender.is_closed() && entry.site.is_some() && entry.idle.len() < IDLE_MOST {
             connection.since = now;
-            shelf.idle.push(connection);
+            entry.idle.push(connection);
         }
     }
 
     /// Closes the idle connections to a host.
     pub fn close_idle(&self, host: HostId) {
-        if let Some(shelf) = self.shelves.borrow_mut().get_mut(&host) {
-            shelf.idle.clear();
+        if let Some(entry) = self.by_host.borrow_mut().get_mut(&host) {
+            entry.idle.clear();
         }
     }
 
     /// Forgets when the host was last heard: something there went silent, and its idle connections may be dead.
     pub fn distrust(&self, host: HostId) {
-        if let Some(shelf) = self.shelves.borrow_mut().get_mut(&host) {
-            shelf.idle.clear();
-            shelf.heard = None;
+        if let Some(entry) = self.by_host.borrow_mut().get_mut(&host) {
+            entry.idle.clear();
+            entry.heard = None;
         }
     }
 
     /// Something at the host has been silent since then. Unless another exchange was heard meanwhile, its idle
     /// connections may be as dead.
     pub fn silent_since(&self, host: HostId, since: Instant) {
-        let heard = self.shelves.borrow().get(&host).and_then(|s| s.heard);
+        let heard = self.by_host.borrow().get(&host).and_then(|s| s.heard);
         if heard.is_none_or(|at| at < since) {
             self.distrust(host);
         }
@@ -387,8 +387,8 @@
     pub async fn close_stale(&self) {
         loop {
             tokio::time::sleep(self.limits.idle / 8).await;
-            for shelf in self.shelves.borrow_mut().values_mut() {
-                shelf.idle.retain(|c| c.since.elapsed() < self.limits.idle && !c.sender.is_closed());
+            for entry in self.by_host.borrow_mut().values_mut() {
+                entry.idle.retain(|c| c.since.elapsed() < self.limits.idle && !c.sender.is_closed());
             }
         }
     }
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -34,7 +34,7 @@
     /// Refused: trying again is harmless.
     Refused {
         /// When to come back.
-        come_back: Option<Micros>,
+        retry_after: Option<Micros>,
     },
     /// Failed.
     Failed,
@@ -176,8 +176,8 @@
         loop {
             match self.wake().await {
                 Wake::Order(Order::Send(send)) => return Some(send),
-                Wake::Order(Order::Refuse(come_back)) => {
-                    self.answer(Answer::Refused { come_back });
+                Wake::Order(Order::Refuse(retry_after)) => {
+                    self.answer(Answer::Refused { retry_after });
                     return None;
                 }
                 Wake::Order(Order::Fail) => {
@@ -332,8 +332,8 @@
             match wake {
                 Wake::Order(Order::Cancel(which)) if which == attempt.id => return withdrawn,
                 // The planner has ended it while an attempt is out: answer, and give the attempt up.
-                Wake::Order(Order::Refuse(come_back)) => {
-                    self.answer(Answer::Refused { come_back });
+                Wake::Order(Order::Refuse(retry_after)) => {
+                    self.answer(Answer::Refused { retry_after });
                     self.over = true;
                     return withdrawn;
                 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -451,7 +451,7 @@
             copies: limits.may_duplicate,
             probes: limits.may_probe,
             max_attempts: limits.max_attempts,
-            come_back: limits.max_retry_after.filter(|_| limits.retry_after).map(micros),
+            retry_after: limits.max_retry_after.filter(|_| limits.retry_after).map(micros),
             ahead: family.ahead,
             resume: family.resume,
             local_prefill: family.local_read,
@@ -557,8 +557,8 @@
             Command::Send { handle: request.0, host: host.0, try_for: millis(time_out) }
         }
         Action::Cancel { request, attempt } => Command::Abandon { handle: request.0, round_no: attempt.0 },
-        Action::Refuse { request, come_back } => {
-            Command::Reject { handle: request.0, not_before_for: come_back.map(millis) }
+        Action::Refuse { request, retry_after } => {
+            Command::Reject { handle: request.0, not_before_for: retry_after.map(millis) }
         }
         Action::Fail(request) => Command::Error { handle: request.0 },
         Action::Release(request) => Command::ClearState { handle: request.0 },
--- a/tests/common/rig.rs
+++ b/tests/common/rig.rs
@@ -41,7 +41,7 @@
             copies: false,
             probes: false,
             max_attempts: 4,
-            come_back: Some(S),
+            retry_after: Some(S),
             ahead: false,
             resume: false,
             local_prefill: false,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -39,7 +39,7 @@
     let mut late = ask(1);
     late.time_left = 11 * MS;
     let out = rig.step(0, &[Event::Request(late)]);
-    let refused = Action::Refuse { request: RequestId(1), come_back: Some(S) };
+    let refused = Action::Refuse { request: RequestId(1), retry_after: Some(S) };
     assert!(out.contains(&refused), "{out:?}");
 }
 
@@ -277,7 +277,7 @@
 fn rule_1_a_request_of_no_known_class_is_refused_at_once() {
     let mut rig = Rig::new(settings(), &[member(PREFILL, 0), member(DECODE, 1)]);
     let out = rig.step(0, &[Event::Request(NewRequest { class: ClassId(9), ..ask(1) })]);
-    assert_eq!(out, [Action::Refuse { request: RequestId(1), come_back: None }]);
+    assert_eq!(out, [Action::Refuse { request: RequestId(1), retry_after: None }]);
 }
 
 #[test]
@@ -301,7 +301,7 @@
     set.limits.max_attempts = 1;
     set.kinds.truncate(2);
     let mut rig = Rig::new(set, &[member(PREFILL, 0), member(DECODE, 1)]);
-    assert_eq!(rig.request(1), [Action::Refuse { request: RequestId(1), come_back: None }]);
+    assert_eq!(rig.request(1), [Action::Refuse { request: RequestId(1), retry_after: None }]);
 }
 
 #[test]
--- a/tests/soak/server.rs
+++ b/tests/soak/server.rs
@@ -113,7 +113,7 @@
         self.list("Terminating");
         sleep(drains_for).await;
         self.list("Gone");
-        self.come_back(after).await;
+        self.restart(after).await;
         self.busy.set(false);
     }
 
@@ -122,12 +122,12 @@
         if self.busy.replace(true) {
             return;
         }
-        self.come_back(after).await;
+        self.restart(after).await;
         self.busy.set(false);
     }
 
     /// Ends all its connections, and starts anew; states that waited are gone.
-    async fn come_back(self: &Rc<Self>, after: Duration) {
+    async fn restart(self: &Rc<Self>, after: Duration) {
         let task = self.task.borrow_mut().take();
         task.iter().for_each(JoinHandle::abort);
         self.world.data.borrow_mut().states.retain(|_, at| *at != self.name);
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -113,10 +113,10 @@
         ),
         (Action::Cancel { request, attempt: AttemptId(1) }, r#"{"t":"abandon","handle":9,"roundNo":1}"#),
         (
-            Action::Refuse { request, come_back: Some(250_000) },
+            Action::Refuse { request, retry_after: Some(250_000) },
             r#"{"t":"reject","handle":9,"notBeforeFor":250.0}"#,
         ),
-        (Action::Refuse { request, come_back: None }, r#"{"t":"reject","handle":9}"#),
+        (Action::Refuse { request, retry_after: None }, r#"{"t":"reject","handle":9}"#),
         (Action::Fail(request), r#"{"t":"error","handle":9}"#),
         (Action::Release(request), r#"{"t":"clearState","handle":9}"#),
         (Action::Ahead { request, host }, r#"{"t":"pairEarly","handle":9,"host":2}"#),
