Send a state on again whose attempt broke off under way

Change: a break after 100 ms or more is that of an attempt under way, as held states only go over connections that can be trusted; one that comes at once still lets the clock run on. Result: the new test fails with the mend taken out and passes with it; rules 30 passed.

--- a/src/node/held.rs
+++ b/src/node/held.rs
@@ -16,6 +16,10 @@
 /// What the rules on sockets add to the time for which something may be held.
 const SLACK: Duration = Duration::from_millis(300);
 
+/// After which a break is that of an attempt that had arrived: held states go over connections that can be trusted, and
+/// one that its server had closed all the same breaks at once.
+const BROKE_OFF: Duration = Duration::from_millis(100);
+
 /// What may be held for one request.
 pub struct HeldState {
     upstream: Rc<Upstream>,
@@ -41,10 +45,15 @@
         self.waits_since = Some(Instant::now());
     }
 
-    /// An attempt to send the state on has ended: if it had arrived, the state waits from now on.
-    pub fn tried(&mut self, outcome: Outcome) {
-        let arrived =
-            matches!(outcome, Outcome::Full | Outcome::NoState | Outcome::Error | Outcome::TimedOut);
+    /// An attempt to send the state on has ended after so long: if it had arrived, the state waits from now on.
+    pub fn tried(&mut self, outcome: Outcome, took: Duration) {
+        let arrived = match outcome {
+            Outcome::Full | Outcome::NoState | Outcome::Error | Outcome::TimedOut | Outcome::Malformed => {
+                true
+            }
+            Outcome::Broken => took >= BROKE_OFF,
+            _ => false,
+        };
         if arrived && self.any() {
             self.waits();
         }
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -279,7 +279,7 @@
                     self.held.waits();
                     self.held.release();
                 }
-                self.held.tried(outcome);
+                self.held.tried(outcome, attempt.begun.elapsed());
                 self.ended(&attempt, outcome, (0.0, load))
             }
         }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -242,6 +242,19 @@
     }
 }
 
+#[test]
+fn rule_5_a_state_whose_attempt_broke_off_under_way_is_sent_on_again() {
+    let mut rig = Rig::new(settings(), &[member(PREFILL, 0), member(DECODE, 1), member(11, 1)]);
+    rig.request(1);
+    let first = sent_to(&rig.end(1, PREFILL, Outcome::Read)).expect("sent on");
+    let mut broke = ended(1, first, Outcome::Broken, false);
+    if let Event::Ended { took, .. } = &mut broke {
+        *took = 450 * MS;
+    }
+    let second = sent_to(&rig.step(450 * MS, &[broke])).expect("sent on again at once");
+    assert!(![first, PREFILL].contains(&second), "the state was not let go of");
+}
+
 #[test]
 fn rule_5_all_is_let_go_of_where_a_state_is_gone_before_the_prompt_waits_to_be_read_anew() {
     let mut set = settings();
