--- a/tests/connection_wait.rs
+++ b/tests/connection_wait.rs
@@ -188,3 +188,23 @@
     assert_eq!(outcome, Outcome::NotSent, "it never ran, and its host is not to blame");
     assert!(written.is_empty(), "sent {}", String::from_utf8_lossy(&written));
 }
+
+#[test]
+fn an_attempt_waits_for_a_connection_no_longer_than_it_may_begin() {
+    let outcome = run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let core = core(&listener);
+        // It stays taken for good.
+        let _taken = take_room(&core, &listener).await;
+        let gate = SendGate::new(core.counters.clone());
+        let start_by = Some(Instant::now() + Duration::from_millis(50));
+        let times = Times { until: Instant::now() + PATIENCE, start_by, held: true };
+        let host = HostId(rig::PREFILL);
+        let attempt = async { core.upstream.first(host, &payload(), times, &gate).await.0 };
+        match timeout(PATIENCE / 10, attempt).await {
+            Ok(First::Ended(outcome)) => Some(outcome),
+            _ => None,
+        }
+    });
+    assert_eq!(outcome, Some(Outcome::NotSent));
+}
--- a/tests/held_up.rs
+++ b/tests/held_up.rs
@@ -10,14 +10,20 @@
 /// How long the program is stopped: far longer than any attempt may begin after its client has left.
 const HELD_UP: Duration = Duration::from_millis(400);
 
-#[test]
-fn nothing_is_sent_for_a_client_that_closed_while_its_request_stood_in_the_listener_s_queue() {
+/// Holds the program up while a client sends a request and closes; nothing of it may be sent on afterwards.
+fn closes_while_held_up(id: &str, connect_before: bool) {
     let base = address();
     let (prefills, decodes) = (Listener::instance(&base, "r1"), Listener::instance(&base, "w1"));
     let (program, _discovery, _watch) = start(&base, &["r1", "w1"], &[]);
+    let kept = connect_before.then(|| {
+        let mut kept = client(&base);
+        kept.send("GET /-/ready HTTP/1.1\r\nHost: app.svc\r\n\r\n");
+        kept.message();
+        kept
+    });
     program.signal("STOP");
-    let mut left = client(&base);
-    left.send(&request("g1", "climb-query", 6_000));
+    let mut left = kept.unwrap_or_else(|| client(&base));
+    left.send(&request(id, "climb-query", 6_000));
     left.close();
     std::thread::sleep(HELD_UP);
     program.signal("CONT");
@@ -25,21 +31,14 @@
     assert_eq!(prefills.requests_left() + decodes.requests_left(), 0, "sent after its client had left");
 }
 
+#[test]
+fn nothing_is_sent_for_a_client_that_closed_while_its_request_stood_in_the_listener_s_queue() {
+    closes_while_held_up("g1", false);
+}
+
 #[test]
 fn nothing_is_sent_for_a_client_that_closed_on_a_kept_connection_while_the_program_was_held_up() {
-    let base = address();
-    let (prefills, decodes) = (Listener::instance(&base, "r1"), Listener::instance(&base, "w1"));
-    let (program, _discovery, _watch) = start(&base, &["r1", "w1"], &[]);
-    let mut left = client(&base);
-    left.send("GET /-/ready HTTP/1.1\r\nHost: app.svc\r\n\r\n");
-    left.message();
-    program.signal("STOP");
-    left.send(&request("g2", "climb-query", 6_000));
-    left.close();
-    std::thread::sleep(HELD_UP);
-    program.signal("CONT");
-    program.end();
-    assert_eq!(prefills.requests_left() + decodes.requests_left(), 0, "sent after its client had left");
+    closes_while_held_up("g2", true);
 }
 
 #[test]
--- a/tests/system_calls.rs
+++ b/tests/system_calls.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use common::faults::{EADDRINUSE, ECONNABORTED, EINTR, ENETUNREACH, Faults, clock_off, failing};
+use common::faults::{EADDRINUSE, ECONNABORTED, EINTR, EMFILE, ENETUNREACH, Faults, clock_off, failing};
 use common::peers::{
     Connection, END, Listener, READ, STREAM, client, configuration, list, request, start_with,
 };
@@ -42,13 +42,17 @@
     program.end();
 }
 
-#[test]
-fn a_bind_that_fails_for_a_moment_does_not_end_the_start() {
-    let base = address();
-    let faults = Faults::new(&base, &[failing("bind", EADDRINUSE, 100)]);
-    let path = configuration(&base, &[]);
+/// Starts the program while a call of its start fails.
+fn starts_while(base: &str, fault: String) -> (Program, Faults) {
+    let faults = Faults::new(base, &[fault]);
+    let path = configuration(base, &[]);
     let [library, control] = faults.variables();
-    let mut program = Program::start(&base, &[], &[("LB_CONFIG", &path), library, control]);
+    (Program::start(base, &[], &[("LB_CONFIG", &path), library, control]), faults)
+}
+
+/// Lets a call of a start fail for a moment; the start must go on when it works again.
+fn starts_once_this_passes(fault: String) {
+    let (mut program, faults) = starts_while(&address(), fault);
     std::thread::sleep(A_MOMENT);
     assert!(program.runs(), "it ended");
     faults.set(&[]);
@@ -56,13 +60,19 @@
     program.end();
 }
 
+#[test]
+fn a_bind_that_fails_for_a_moment_does_not_end_the_start() {
+    starts_once_this_passes(failing("bind", EADDRINUSE, 100));
+}
+
+#[test]
+fn a_configuration_that_cannot_be_opened_for_a_moment_does_not_end_the_start() {
+    starts_once_this_passes(failing("open", EMFILE, 100));
+}
+
 #[test]
 fn a_program_that_cannot_start_yet_still_ends_when_it_is_told_to() {
-    let base = address();
-    let faults = Faults::new(&base, &[failing("bind", EADDRINUSE, 100)]);
-    let path = configuration(&base, &[]);
-    let [library, control] = faults.variables();
-    let mut program = Program::start(&base, &[], &[("LB_CONFIG", &path), library, control]);
+    let (mut program, _faults) = starts_while(&address(), failing("bind", EADDRINUSE, 100));
     program.logs("cannot listen on");
     program.signal("TERM");
     let begun = Instant::now();
@@ -70,20 +80,6 @@
     assert!(begun.elapsed() < Duration::from_secs(8), "{:?}", begun.elapsed());
 }
 
-#[test]
-fn a_configuration_that_cannot_be_opened_for_a_moment_does_not_end_the_start() {
-    let base = address();
-    let faults = Faults::new(&base, &[failing("open", common::faults::EMFILE, 100)]);
-    let path = configuration(&base, &[]);
-    let [library, control] = faults.variables();
-    let mut program = Program::start(&base, &[], &[("LB_CONFIG", &path), library, control]);
-    std::thread::sleep(A_MOMENT);
-    assert!(program.runs(), "it ended");
-    faults.set(&[]);
-    program.logs("listens on");
-    program.end();
-}
-
 #[test]
 fn requests_are_served_while_calls_fail_come_short_and_are_interrupted() {
     let base = address();
