--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -12,7 +12,7 @@
 
 use super::counters::{Counters, add};
 use super::events::Events;
-use super::pool::{NoConnection, Pool, WriteMark};
+use super::pool::{Connection, NoConnection, Pool, WriteMark};
 use super::send_gate::{Denied, SendGate, Times};
 use crate::api::{HostId, Load, Micros, Outcome, Role};
 
@@ -172,11 +172,7 @@
         let ended = |outcome| (First::Ended(outcome), None);
         let (connection, response, _out) = loop {
             *written = None;
-            let connection = match times.held {
-                true => self.pool.trusted_connection(host).await,
-                false => self.pool.connection(host).await,
-            };
-            let mut connection = match connection {
+            let mut connection = match self.connection(host, &times).await {
                 Ok(connection) => connection,
                 Err(NoConnection::Instance) => return ended(Outcome::Unreachable),
                 Err(NoConnection::Local) => return ended(Outcome::NotSent),
@@ -245,6 +241,20 @@
         }
     }
 
+    /// A connection for an attempt, waited for no longer than the attempt may begin.
+    async fn connection(&self, host: HostId, times: &Times) -> Result<Connection, NoConnection> {
+        let wait = async {
+            match times.held {
+                true => self.pool.trusted_connection(host).await,
+                false => self.pool.connection(host).await,
+            }
+        };
+        match times.start_by {
+            Some(by) => timeout_at(by, wait).await.unwrap_or(Err(NoConnection::Local)),
+            None => wait.await,
+        }
+    }
+
     /// A public server's word on the request itself, such as a field that it does not take, is the client's
     /// answer: another server would say the same.
     fn is_answer(&self, status: StatusCode) -> bool {
--- a/tests/connection_wait.rs
+++ b/tests/connection_wait.rs
@@ -194,8 +194,11 @@
     let outcome = run(async {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let core = core(&listener);
-        // It stays taken for good.
-        let _taken = take_room(&core, &listener).await;
+        // It stays taken for good, at both ends.
+        let Ok(_taken) = core.upstream.pool().connection(HostId(rig::PREFILL)).await else {
+            panic!("it listens");
+        };
+        let _accepted = listener.accept().await.expect("the connection that takes the room");
         let gate = SendGate::new(core.counters.clone());
         let start_by = Some(Instant::now() + Duration::from_millis(50));
         let times = Times { until: Instant::now() + PATIENCE, start_by, held: true };
