Test clients that stop in the middle of a request while the process ends

Cause: a lead that no test had covered: first and resting connections, within the head and within the body, at SIGTERM. Change: one test. Result: it passes without a change, so the lead is ruled out as far as it goes.

--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -490,3 +490,34 @@
     last.close();
     peers.program.ended(true);
 }
+
+#[test]
+fn clients_that_stop_in_the_middle_of_a_request_are_ended_in_time_also_while_the_process_ends() {
+    let mut peers = Peers::start(&[]);
+    let text = request("m1", "climb-query", 6_000);
+    let (head, body) = text.split_at(text.len() - 5);
+    // On a first and on a resting connection, within the head and within the body.
+    let mut stopped = Vec::new();
+    for rests in [false, true] {
+        for part in [&text[..60], head] {
+            let mut connection = peers.client();
+            if rests {
+                connection.send("GET /-/ready HTTP/1.1\r\nHost: app.svc\r\n\r\n");
+                connection.message();
+            }
+            connection.send(part);
+            stopped.push(connection);
+        }
+    }
+    assert_eq!(body.len(), 5);
+    let begun = Instant::now();
+    peers.program.signal("TERM");
+    for connection in &mut stopped {
+        let answer = connection.rest_or_reset();
+        assert!(answer.is_empty() || answer.starts_with("HTTP/1.1 4"), "{answer}");
+    }
+    assert!(begun.elapsed() < Duration::from_millis(3_000), "{:?}", begun.elapsed());
+    drop(stopped);
+    let log = peers.program.ended(true);
+    assert!(log.contains("\"taken\":0,"), "{log}");
+}
