Say in one place which outcomes show that an attempt had arrived

Cause: the module and the node's count of what is held each listed these outcomes, with the same 100 ms for a break. Change: Outcome::arrived beside never_ran serves both; the two outcomes that the module's list lacked are handled before it is asked, so behaviour stays. Attempt::took replaces the same expression three times.

--- a/src/api.rs
+++ b/src/api.rs
@@ -239,7 +239,21 @@
     Moot,
 }
 
+/// After which a break is that of an attempt under way, and no longer that of a connection that its host had closed.
+const BROKE_OFF: Micros = 100_000;
+
 impl Outcome {
+    /// Whether an attempt that ended like this after so long shows that it had arrived at its host.
+    pub fn arrived(self, took: Micros) -> bool {
+        match self {
+            Outcome::Full | Outcome::NoState | Outcome::Error | Outcome::TimedOut | Outcome::Malformed => {
+                true
+            }
+            Outcome::Broken => took >= BROKE_OFF,
+            _ => false,
+        }
+    }
+
     /// Whether the host certainly did nothing for the request.
     pub fn never_ran(self) -> bool {
         matches!(self, Outcome::Full | Outcome::Unreachable | Outcome::NotSent | Outcome::Moot)
--- a/src/logic/attempts.rs
+++ b/src/logic/attempts.rs
@@ -10,7 +10,6 @@
 const FULL_REST: Micros = 100_000; // for which a host that said "full" is left alone, at least...
 const FULL_MULTIPLE: Micros = 20; // ...and of the time that it took to say so...
 const FULL_REST_MOST: Micros = 4_000_000; // ...up to this: room comes back sooner than a jam is forgotten
-const BROKE_OFF: Micros = 100_000; // after which a break is that of an attempt under way
 const AVOID: Micros = 100_000; // for which a host that could not be sent to from here is not tried again
 const REPEAT_MARGIN: Micros = 100_000; // of a repeat's window: a handshake and the way to the instance
 
@@ -147,9 +146,7 @@
                     self.hold(id);
                 } else {
                     // Without a sign that the call arrived no attempt was out: the state waited all along.
-                    let arrived = matches!(outcome, Outcome::Full | Outcome::Error | Outcome::TimedOut)
-                        || (outcome == Outcome::Broken && took >= BROKE_OFF);
-                    let since = if arrived { now } else { r.ready_since };
+                    let since = if outcome.arrived(took) { now } else { r.ready_since };
                     (r.stage, r.ready_since) = (Stage::Ready, since);
                 }
             }
--- a/src/node/held.rs
+++ b/src/node/held.rs
@@ -9,17 +9,13 @@
 use super::attempt::Upstream;
 use super::counters::add;
 use super::release::release;
-use crate::api::Outcome;
+use crate::api::{Micros, Outcome};
 
 /// For a release before the next read: a later one would let go of that read's state.
 const RELEASE_FIRST: Duration = Duration::from_millis(250);
 /// What the rules on sockets add to the time for which something may be held.
 const SLACK: Duration = Duration::from_millis(300);
 
-/// After which a break is that of an attempt that had arrived: held states go over connections that can be trusted, and
-/// one that its server had closed all the same breaks at once.
-const BROKE_OFF: Duration = Duration::from_millis(100);
-
 /// What may be held for one request.
 pub struct HeldState {
     upstream: Rc<Upstream>,
@@ -46,15 +42,8 @@
     }
 
     /// An attempt to send the state on has ended after so long: if it had arrived, the state waits from now on.
-    pub fn tried(&mut self, outcome: Outcome, took: Duration) {
-        let arrived = match outcome {
-            Outcome::Full | Outcome::NoState | Outcome::Error | Outcome::TimedOut | Outcome::Malformed => {
-                true
-            }
-            Outcome::Broken => took >= BROKE_OFF,
-            _ => false,
-        };
-        if arrived && self.any() {
+    pub fn tried(&mut self, outcome: Outcome, took: Micros) {
+        if outcome.arrived(took) && self.any() {
             self.waits();
         }
     }
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -84,6 +84,13 @@
     begun: Instant,
 }
 
+impl Attempt {
+    /// Time since it was sent.
+    fn took(&self) -> Micros {
+        self.begun.elapsed().as_micros() as Micros
+    }
+}
+
 /// What follows after an attempt.
 enum Next {
     /// The planner decides on.
@@ -279,7 +286,7 @@
                     self.held.waits();
                     self.held.release();
                 }
-                self.held.tried(outcome, attempt.begun.elapsed());
+                self.held.tried(outcome, attempt.took());
                 self.ended(&attempt, outcome, (0.0, load))
             }
         }
@@ -301,7 +308,7 @@
     fn ended(&mut self, attempt: &Attempt, outcome: Outcome, (kept, load): (f64, Option<Load>)) -> Next {
         self.last_outcome = Some(outcome);
         self.core.counters.attempt_ended(outcome);
-        let took = attempt.begun.elapsed().as_micros() as Micros;
+        let took = attempt.took();
         tracing::debug!(
             "request {}: attempt {} ended {outcome:?} after {took} us, {kept} kept",
             self.id,
@@ -358,7 +365,7 @@
         self.held.taken();
         if !self.whole {
             // A whole answer tells nothing of the time to a first token.
-            let took = attempt.begun.elapsed().as_micros() as Micros;
+            let took = attempt.took();
             tracing::debug!("request {}: attempt {} began after {took} us", self.id, attempt.id.0);
             self.handle.began(attempt.id, attempt.send.host, took);
         }
