Add a review case: silent connections keep read states past their limit

Open idle connections to writers fall silent. States that had been read waited at their reader for 1.7 to 3.6 s with no attempt out; the limit is 1.3 s. Nothing is fixed.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. TROUBLE=0 leaves the disruption out.
+CASE_FOLDER=$(cd "$(dirname "$0")" && pwd)
+export CASE_FOLDER
+exec timeout -k 2 118 python3 -B "$CASE_FOLDER/case.py"
