--- a/review/standins.py
+++ b/review/standins.py
@@ -339,6 +339,7 @@
     def __init__(self, record, name):
         self.record = record
         self.name = name
+        self.process = None
 
     async def start(self, number, replicas, discovery, fleet, directory, limits, **changes):
         run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
@@ -378,13 +379,16 @@
         raise RuntimeError(f"router {self.name} does not start: {self.log_path.read_text()[-500:]!r}")
 
     def crashed(self):
-        return self.process.returncode is not None
+        return self.process is not None and self.process.returncode is not None
 
-    async def end(self):
-        if self.process.returncode is None:
+    def kill(self):
+        if self.process is not None and self.process.returncode is None:
             os.killpg(self.process.pid, signal.SIGKILL)
+
+    async def end(self):
+        if self.process is not None:
             await self.process.wait()
-        self.log.close()
+            self.log.close()
 
 
 def post(id, timeout_ms, chunked=False, prompt_tokens=800):
@@ -453,15 +457,19 @@
             for number in range(replicas):
                 discovery = await Discovery(record, fleet).listen()
                 router = Router(record, f"n{number}")
-                await router.start(number, replicas, discovery, fleet, directory, limits, **changes)
                 routers.append(router)
+                await router.start(number, replicas, discovery, fleet, directory, limits, **changes)
             for router in routers:
                 await router.wait_ready()
             return await body(routers, fleet)
         finally:
             for router in routers:
                 if router.crashed():
-                    record.add(f"router {router.name} ended by itself with {router.process.returncode}")
+                    record.add(f"router {router.name} had ended with {router.process.returncode}")
+            # All at once and before anything that can be interrupted.
+            for router in routers:
+                router.kill()
+            for router in routers:
                 await router.end()
 
 
@@ -516,13 +524,19 @@
 def main(case, seconds=110):
     """Runs `case(record)`, which returns the list of breaks, and exits with the verdict."""
     folder = pathlib.Path(os.environ["CASE_FOLDER"])
-    # So that the routers are ended here too.
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
     record = Record(folder / "record.txt")
     record.add("with the disruption" if trouble() else "TROUBLE=0: without the disruption")
+
+    async def play():
+        # An interrupted run ends its routers as well.
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        return await asyncio.wait_for(case(record), seconds)
+
     try:
-        breaks = asyncio.run(asyncio.wait_for(case(record), seconds))
-    except (Exception, KeyboardInterrupt) as error:
+        breaks = asyncio.run(play())
+    except (Exception, asyncio.CancelledError) as error:
         record.write([f"could not run: {type(error).__name__}: {error}"])
         print(f"could not run: {type(error).__name__}: {error}")
         raise SystemExit(2)
