Notice a client's disconnect whatever it sends behind its request

Cause: hyper doesn't look for the end of a connection while it holds unparsed bytes. The router's own watch started only when more bytes than a Content-Length had come, never for chunks, and read 32 KiB a millisecond, so the close waited behind what the kernel held. Nothing looked at the connection before a request was handed to the scheduler either. Evidence: in the debug log `client disconnected` never comes for chunks and comes 0.29 s late behind a flood; once it comes, the attempt is cancelled within 0.2 ms.

Change: the body reports its end whatever its framing; from then until the response the connection's task reads and discards what follows without pauses and sees the end. A request is handed on only after its connection was found open. More than 1 MiB behind an open request is answered with 400 at once, which bounds the work.

--- a/src/server/api_context.rs
+++ b/src/server/api_context.rs
@@ -3,10 +3,10 @@
 use std::rc::Rc;
 
 use hyper::Request;
-use hyper::body::Incoming;
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
 
+use super::client_body::ClientBody;
 use super::connection_limits::{BodyAllocation, ConnectionLimiter};
 use super::connection_state::RequestArrival;
 use super::handler::ServerResponse;
@@ -73,7 +73,7 @@
     ///
     /// See [`read_body`].
     pub(super) async fn read_body(
-        &self, request: &mut Request<Incoming>, body_use: BodyUse,
+        &self, request: &mut Request<ClientBody>, body_use: BodyUse,
     ) -> Result<ReceivedBody, BodyError> {
         read_body(request, body_use, &self.limiter).await
     }
@@ -111,6 +111,6 @@
 }
 
 /// Returns whether the request head specified the body length in two ways.
-pub(super) fn has_conflicting_lengths(request: &Request<Incoming>) -> bool {
+pub(super) fn has_conflicting_lengths(request: &Request<ClientBody>) -> bool {
     request.extensions().get::<RequestArrival>().is_some_and(|arrival| arrival.conflicting_lengths)
 }
--- a/src/server/chat_api/error.rs
+++ b/src/server/chat_api/error.rs
@@ -33,6 +33,9 @@
     /// The head specifies the body length in two ways.
     #[error("Content-Length and Transfer-Encoding exclude each other")]
     ConflictingLengths,
+    /// The client keeps sending bytes behind its request.
+    #[error("a connection carries one request at a time")]
+    ExcessBytes,
     /// The model is not configured.
     #[error("the model \"{0}\" does not exist")]
     UnknownModel(String),
@@ -73,7 +76,8 @@
             ChatError::MalformedBody(_)
             | ChatError::NoMessages
             | ChatError::MaxTokensOutOfRange
-            | ChatError::ConflictingLengths => (StatusCode::BAD_REQUEST, INVALID_REQUEST, None),
+            | ChatError::ConflictingLengths
+            | ChatError::ExcessBytes => (StatusCode::BAD_REQUEST, INVALID_REQUEST, None),
             ChatError::UnknownModel(_) => (StatusCode::NOT_FOUND, INVALID_REQUEST, Some("model_not_found")),
             ChatError::Body(BodyError::TooLarge) => (StatusCode::PAYLOAD_TOO_LARGE, INVALID_REQUEST, None),
             ChatError::Body(_) => (StatusCode::BAD_REQUEST, INVALID_REQUEST, None),
--- a/src/server/chat_api/mod.rs
+++ b/src/server/chat_api/mod.rs
@@ -7,7 +7,6 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, StatusCode};
 use serde::Serialize;
@@ -15,6 +14,7 @@
 use tokio::time::Instant;
 
 use super::api_context::{AdmittedRequest, ApiContext, has_conflicting_lengths};
+use super::client_body::ClientBody;
 use super::connection_limits::ConnectionLimiter;
 use super::handler::{RequestHandler, ServerResponse};
 use super::request_body::{BodyError, BodyUse};
@@ -59,7 +59,7 @@
         self.context.counters().clone()
     }
 
-    async fn handle(self, request: Request<Incoming>) -> ServerResponse {
+    async fn handle(self, request: Request<ClientBody>) -> ServerResponse {
         let mut response = match self.route(request).await {
             Ok(response) => response,
             Err(error) => self.error_response(&error),
@@ -67,6 +67,10 @@
         self.context.close_if_draining_or_over_limit(&mut response);
         response
     }
+
+    fn reject_excess_bytes(&self) -> ServerResponse {
+        self.error_response(&ChatError::ExcessBytes)
+    }
 }
 
 impl ChatApi {
@@ -89,7 +93,7 @@
         ChatApi { peer, ..self.clone() }
     }
 
-    async fn route(&self, request: Request<Incoming>) -> Result<ServerResponse, ChatError> {
+    async fn route(&self, request: Request<ClientBody>) -> Result<ServerResponse, ChatError> {
         if let ClientIdentity::Denied(id) = &self.peer {
             return Err(ChatError::IdentityDenied(id.clone()));
         }
@@ -127,7 +131,7 @@
         ChatError::Rejected { retry_after: self.context.record_shed() }
     }
 
-    async fn complete(&self, mut request: Request<Incoming>) -> Result<ServerResponse, ChatError> {
+    async fn complete(&self, mut request: Request<ClientBody>) -> Result<ServerResponse, ChatError> {
         let arrived_at = Instant::now();
         if has_conflicting_lengths(&request) {
             return Err(ChatError::ConflictingLengths);
@@ -164,7 +168,7 @@
 }
 
 /// Builds the payload sent to endpoints.
-fn payload(request: &Request<Incoming>, id: Rc<str>, body: Bytes) -> Result<RequestPayload, ChatError> {
+fn payload(request: &Request<ClientBody>, id: Rc<str>, body: Bytes) -> Result<RequestPayload, ChatError> {
     let target = request.uri().path_and_query().cloned();
     let target = target.ok_or_else(|| ChatError::UnknownPath(String::new()))?;
     let content_type = Some(HeaderValue::from_static("application/json"));
--- a/src/server/client_stream.rs
+++ b/src/server/client_stream.rs
@@ -22,11 +22,10 @@
 const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Interval between checks for a client close while unread bytes keep the socket readable.
 const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// Pause between reads of discarded bytes, so that a client that floods the connection does not use up the
-/// CPU.
-const DISCARD_INTERVAL: Duration = Duration::from_millis(1);
-/// Number of bytes discarded per read.
+/// Maximum number of bytes discarded per read.
 const DISCARD_BUFFER_SIZE: usize = 32 * 1024;
+/// Number of reads of discarded bytes after which other tasks run.
+const MAX_DISCARDING_READS: u32 = 2;
 
 /// A byte stream that can detect a client close without consuming unread bytes.
 pub trait ClientIo: AsyncRead + AsyncWrite + Unpin + 'static {
@@ -61,15 +60,6 @@
     }
 }
 
-/// Result of a read whose bytes are discarded.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Discarded {
-    /// At least one byte was read.
-    Bytes,
-    /// The stream ended or failed.
-    End,
-}
-
 /// The byte stream of a client connection, which reports its traffic to the connection state. A second handle
 /// remains usable after hyper has dropped the first one.
 pub struct ClientStream<I> {
@@ -88,16 +78,31 @@
         ClientStream { io: self.io.clone(), state: self.state.clone() }
     }
 
-    /// Waits for the client to close the connection after sending more bytes than its current request has.
-    /// hyper stops reading at the end of the request and would not detect the close. The connection is closed
-    /// after the response anyway, so the excess bytes are discarded.
-    pub async fn closed_after_excess_bytes(&self) {
-        let discard_excess = |cx: &mut Context<'_>| {
-            if self.state.has_excess_bytes() { self.poll_discard(cx) } else { Poll::Pending }
-        };
-        while poll_fn(discard_excess).await == Discarded::Bytes {
-            sleep(DISCARD_INTERVAL).await;
+    /// Waits for the client to close the connection between the end of its request and the response. hyper does
+    /// not detect a close while it holds bytes that it has not parsed. The connection is closed after a response
+    /// to a request with bytes behind it, so these are discarded. Must be polled in the task of the connection,
+    /// as the end of the request does not wake it.
+    pub async fn closed_after_request(&self) {
+        poll_fn(|cx| self.poll_closed_after_request(cx)).await;
+    }
+
+    fn poll_closed_after_request(&self, cx: &mut Context<'_>) -> Poll<()> {
+        let progress = self.state.progress();
+        for _ in 0..MAX_DISCARDING_READS {
+            if !progress.discards_bytes() {
+                return Poll::Pending;
+            }
+            match self.poll_discard(cx) {
+                Poll::Pending => {
+                    progress.record_found_open();
+                    return Poll::Pending;
+                }
+                Poll::Ready(0) => return Poll::Ready(()),
+                Poll::Ready(discarded) => progress.record_discarded(discarded),
+            }
         }
+        cx.waker().wake_by_ref();
+        Poll::Pending
     }
 
     /// Shuts down the write side and waits until the client closes, the connection is evicted or a timeout
@@ -117,16 +122,12 @@
         }
     }
 
-    /// Reads and discards available bytes.
-    fn poll_discard(&self, cx: &mut Context<'_>) -> Poll<Discarded> {
+    /// Reads and discards available bytes. Returns their number, which is 0 if the stream has ended or failed.
+    fn poll_discard(&self, cx: &mut Context<'_>) -> Poll<usize> {
         let mut scratch = [MaybeUninit::uninit(); DISCARD_BUFFER_SIZE];
         let mut buffer = ReadBuf::uninit(&mut scratch);
         let read = ready!(Pin::new(&mut *self.io.borrow_mut()).poll_read(cx, &mut buffer));
-        if read.is_ok() && !buffer.filled().is_empty() {
-            Poll::Ready(Discarded::Bytes)
-        } else {
-            Poll::Ready(Discarded::End)
-        }
+        Poll::Ready(if read.is_ok() { buffer.filled().len() } else { 0 })
     }
 }
 
--- a/src/server/connection.rs
+++ b/src/server/connection.rs
@@ -10,6 +10,7 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 
+use super::client_body::ClientBody;
 use super::client_stream::{ClientIo, ClientStream};
 use super::close_reason::CloseReason;
 use super::connection_limits::ConnectionSlot;
@@ -43,7 +44,7 @@
     let mut http = Box::pin(http);
     let mut drain_ready = Box::pin(ready_to_drain(&shutdown, &client));
     let mut deadline = Box::pin(client.deadline_passed());
-    let mut closed_after_excess_bytes = Box::pin(linger_stream.closed_after_excess_bytes());
+    let mut closed_after_request = Box::pin(linger_stream.closed_after_request());
     let mut is_draining = false;
     let reason = loop {
         tokio::select! {
@@ -59,7 +60,7 @@
                 break CloseReason::Ended;
             }
             () = &mut deadline => break CloseReason::for_expired_deadline(client.stage()),
-            () = &mut closed_after_excess_bytes => break CloseReason::ClosedBehindRequest,
+            () = &mut closed_after_request => break CloseReason::ClosedBehindRequest,
             () = &mut drain_ready, if !is_draining => {
                 is_draining = true;
                 http.as_mut().graceful_shutdown();
@@ -71,7 +72,7 @@
         return;
     }
     drop(http);
-    drop(closed_after_excess_bytes);
+    drop(closed_after_request);
     // The guard is held until the client has closed: if the process exited earlier, the connection would be
     // reset and the client would lose bytes that it has not read.
     linger_stream.linger().await;
@@ -85,7 +86,12 @@
 ) -> Result<ServerResponse, Infallible> {
     let arrival = client.request_started(&request);
     request.extensions_mut().insert(arrival);
-    let mut response = handler.handle(request).await;
+    let request = request.map(|incoming| ClientBody::new(incoming, client.clone()));
+    let mut response = tokio::select! {
+        biased;
+        () = client.progress().excess_limit_exceeded() => handler.reject_excess_bytes(),
+        response = handler.clone().handle(request) => response,
+    };
     if client.request_answered(request_validity(response.status())) == Persistence::Close {
         set_connection_close(&mut response);
     }
--- a/src/server/connection_state.rs
+++ b/src/server/connection_state.rs
@@ -13,6 +13,7 @@
 use tokio::time::{Instant, sleep_until, timeout};
 
 use super::head_scanner::HeadScanner;
+use super::request_progress::RequestProgress;
 
 /// Maximum size of a request head in bytes. This is the buffer size of hyper, which rejects larger heads.
 pub(super) const MAX_HEAD_SIZE: usize = 32 * 1024;
@@ -150,6 +151,7 @@
     scanner: RefCell<HeadScanner>,
     /// Framing of the current request's body; `None` between requests.
     body_length: Cell<Option<BodyLength>>,
+    progress: RequestProgress,
     rejected_requests: Cell<u32>,
     eviction: Notify,
 }
@@ -161,6 +163,7 @@
             stage: watch::Sender::new(StageEntry::now(ConnectionStage::Silent)),
             scanner: RefCell::new(HeadScanner::new()),
             body_length: Cell::new(None),
+            progress: RequestProgress::new(),
             rejected_requests: Cell::new(0),
             eviction: Notify::new(),
         })
@@ -171,6 +174,11 @@
         self.stage.borrow().stage
     }
 
+    /// Returns the progress of the current request.
+    pub(super) fn progress(&self) -> &RequestProgress {
+        &self.progress
+    }
+
     /// Returns the time since the client's timer was started.
     pub fn timer_elapsed(&self) -> Duration {
         self.stage.borrow().timer_started.elapsed()
@@ -214,6 +222,7 @@
     pub fn request_started(&self, request: &Request<Incoming>) -> RequestArrival {
         let earliest_start = self.stage.borrow().timer_started;
         self.enter(ConnectionStage::InRequest);
+        self.progress.start();
         let body_length = BodyLength::of(request);
         self.body_length.set(Some(body_length));
         let head = self.scanner.borrow_mut().take_head();
@@ -222,15 +231,6 @@
         RequestArrival { earliest_start, conflicting_lengths }
     }
 
-    /// Returns whether more bytes were received than belong to the current request. hyper does not read past
-    /// the request until it is answered.
-    pub fn has_excess_bytes(&self) -> bool {
-        match self.body_length.get() {
-            Some(BodyLength::Known(length)) => self.scanner.borrow().bytes_after_head() > length,
-            Some(BodyLength::Chunked) | None => false,
-        }
-    }
-
     /// Records that the current request has a response, or at least the head of one; the stage changes only
     /// when the response is complete. The connection is not reused unless the number of received bytes is
     /// known to match the length of the request, as the start of the next request would be unknown otherwise,
@@ -239,6 +239,7 @@
         if validity == RequestValidity::Invalid {
             self.rejected_requests.set(self.rejected_requests.get() + 1);
         }
+        self.progress.finish();
         let mut scanner = self.scanner.borrow_mut();
         let received = BodyLength::Known(scanner.bytes_after_head());
         scanner.next_request();
--- a/src/server/handler.rs
+++ b/src/server/handler.rs
@@ -4,9 +4,9 @@
 
 use bytes::Bytes;
 use http_body_util::{Either, Full};
-use hyper::body::Incoming;
 use hyper::{Request, Response};
 
+use super::client_body::ClientBody;
 use super::stream_body::StreamBody;
 use crate::metrics::Counters;
 
@@ -19,5 +19,8 @@
     fn counters(&self) -> Rc<Counters>;
 
     /// Handles one request. The future is dropped when the client disconnects.
-    fn handle(self, request: Request<Incoming>) -> impl Future<Output = ServerResponse>;
+    fn handle(self, request: Request<ClientBody>) -> impl Future<Output = ServerResponse>;
+
+    /// Returns the error response to a client that keeps sending bytes behind its request.
+    fn reject_excess_bytes(&self) -> ServerResponse;
 }
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -5,6 +5,7 @@
 
 mod api_context;
 pub mod chat_api;
+mod client_body;
 pub mod client_stream;
 pub mod close_reason;
 pub mod connection;
@@ -15,10 +16,12 @@
 mod listener;
 pub mod platform_api;
 mod request_body;
+mod request_progress;
 mod response;
 pub mod spiffe;
 mod stream_body;
 
+pub use client_body::ClientBody;
 pub use handler::{RequestHandler, ServerResponse};
 pub use listener::serve;
 pub use stream_body::StreamBody;
--- a/src/server/platform_api/invalid_request.rs
+++ b/src/server/platform_api/invalid_request.rs
@@ -33,6 +33,9 @@
     /// The head specifies the body length in two ways.
     #[error("Content-Length and Transfer-Encoding exclude each other")]
     ConflictingLengths,
+    /// The client keeps sending bytes behind its request.
+    #[error("a connection carries one request at a time")]
+    ExcessBytes,
     /// The path does not exist.
     #[error("no such path")]
     UnknownPath,
@@ -55,7 +58,8 @@
             | InvalidRequest::UnknownClass(_)
             | InvalidRequest::UnknownTenant(_)
             | InvalidRequest::Body(BodyError::MemoryLimit | BodyError::ReadFailed(_))
-            | InvalidRequest::ConflictingLengths => StatusCode::BAD_REQUEST,
+            | InvalidRequest::ConflictingLengths
+            | InvalidRequest::ExcessBytes => StatusCode::BAD_REQUEST,
         }
     }
 }
--- a/src/server/platform_api/mod.rs
+++ b/src/server/platform_api/mod.rs
@@ -7,12 +7,12 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, StatusCode};
 use tokio::sync::watch;
 
 use super::api_context::{AdmittedRequest, ApiContext, has_conflicting_lengths};
+use super::client_body::ClientBody;
 use super::connection_limits::ConnectionLimiter;
 use super::handler::{RequestHandler, ServerResponse};
 use super::request_body::{BodyError, BodyUse};
@@ -46,11 +46,15 @@
         self.context.counters().clone()
     }
 
-    async fn handle(self, request: Request<Incoming>) -> ServerResponse {
+    async fn handle(self, request: Request<ClientBody>) -> ServerResponse {
         let mut response = self.route(request).await;
         self.context.close_if_draining_or_over_limit(&mut response);
         response
     }
+
+    fn reject_excess_bytes(&self) -> ServerResponse {
+        self.reject_invalid(&InvalidRequest::ExcessBytes)
+    }
 }
 
 impl PlatformApi {
@@ -68,7 +72,7 @@
         }
     }
 
-    async fn route(&self, request: Request<Incoming>) -> ServerResponse {
+    async fn route(&self, request: Request<ClientBody>) -> ServerResponse {
         match (request.method(), request.uri().path()) {
             (_, COMPLETIONS_PATH) => match self.complete(request).await {
                 Ok(response) => response,
@@ -103,7 +107,7 @@
         rejection(self.context.record_shed())
     }
 
-    async fn complete(&self, mut request: Request<Incoming>) -> Result<ServerResponse, InvalidRequest> {
+    async fn complete(&self, mut request: Request<ClientBody>) -> Result<ServerResponse, InvalidRequest> {
         if request.method() != Method::POST {
             return Err(InvalidRequest::MethodNotAllowed("POST"));
         }
@@ -140,7 +144,9 @@
 }
 
 /// Builds the payload sent to endpoints.
-fn payload(request: &Request<Incoming>, id: Rc<str>, body: Bytes) -> Result<RequestPayload, InvalidRequest> {
+fn payload(
+    request: &Request<ClientBody>, id: Rc<str>, body: Bytes,
+) -> Result<RequestPayload, InvalidRequest> {
     let target = request.uri().path_and_query().cloned().ok_or(InvalidRequest::UnknownPath)?;
     let content_type = request.headers().get(CONTENT_TYPE).cloned();
     let idempotency_key = request.headers().get(IDEMPOTENCY_KEY).cloned();
--- a/src/server/request_body.rs
+++ b/src/server/request_body.rs
@@ -7,9 +7,10 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::Request;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use tokio::time::{Instant, timeout_at};
 
+use super::client_body::ClientBody;
 use super::connection_limits::{BodyAllocation, ConnectionLimiter};
 use super::connection_state::RequestArrival;
 
@@ -64,7 +65,7 @@
 ///
 /// Returns an error if the body is too large, exceeds the memory limit, arrives too late or is incomplete.
 pub(super) async fn read_body(
-    request: &mut Request<Incoming>, body_use: BodyUse, limiter: &Rc<ConnectionLimiter>,
+    request: &mut Request<ClientBody>, body_use: BodyUse, limiter: &Rc<ConnectionLimiter>,
 ) -> Result<ReceivedBody, BodyError> {
     let now = Instant::now();
     let arrival = request.extensions().get::<RequestArrival>();
@@ -82,6 +83,7 @@
                 buffer.push(&data)?;
             }
         }
+        body.client_found_connected().await;
         Ok(())
     };
     timeout_at(deadline, read_to_end).await.unwrap_or(Err(BodyError::TimedOut))?;
--- a/tests/client_connection.rs
+++ b/tests/client_connection.rs
@@ -5,13 +5,12 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Either, Full};
-use hyper::body::Incoming;
 use hyper::{Request, Response};
 use inference_router::metrics::Counters;
 use inference_router::server::connection::{ConnectionGuard, serve_connection};
 use inference_router::server::connection_limits::ConnectionLimiter;
 use inference_router::server::connection_state::{ClientState, ConnectionStage};
-use inference_router::server::{RequestHandler, ServerResponse};
+use inference_router::server::{ClientBody, RequestHandler, ServerResponse};
 use inference_router::shutdown::Shutdown;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
 use tokio::task::{LocalSet, spawn_local};
@@ -36,10 +35,14 @@
         Rc::default()
     }
 
-    async fn handle(self, mut request: Request<Incoming>) -> ServerResponse {
+    async fn handle(self, mut request: Request<ClientBody>) -> ServerResponse {
         let _ = request.body_mut().collect().await;
         Response::new(Either::Left(Full::new(Bytes::from_static(RESPONSE_BODY.as_bytes()))))
     }
+
+    fn reject_excess_bytes(&self) -> ServerResponse {
+        Response::new(Either::Left(Full::new(Bytes::new())))
+    }
 }
 
 /// Serves a connection over a pipe of `pipe_size` bytes. Returns the client's end and the connection's state.
--- a/tests/common/messages.rs
+++ b/tests/common/messages.rs
@@ -21,3 +21,16 @@
         REQUEST_BODY.len()
     )
 }
+
+/// As [`request`], with a body in chunks, a chunk extension and a trailer.
+pub(crate) fn chunked_request(id: &str, class: &str, timeout_ms: u32) -> String {
+    let with_length = request(id, class, timeout_ms);
+    let (head, _) = with_length.split_once("Content-Length").expect("request has a Content-Length");
+    let (first, second) = REQUEST_BODY.split_at(REQUEST_BODY.len() / 2);
+    format!(
+        "{head}Transfer-Encoding: chunked\r\n\r\n{:x};name=value\r\n{first}\r\n{:x}\r\n{second}\r\n\
+         0\r\nTrailer-Field: value\r\n\r\n",
+        first.len(),
+        second.len()
+    )
+}
--- a/tests/listener_close.rs
+++ b/tests/listener_close.rs
@@ -6,11 +6,10 @@
 
 use bytes::Bytes;
 use http_body_util::{Either, Full};
-use hyper::body::Incoming;
 use hyper::{Request, Response};
 use inference_router::metrics::Counters;
 use inference_router::server::connection_limits::ConnectionLimiter;
-use inference_router::server::{RequestHandler, ServerResponse, serve};
+use inference_router::server::{ClientBody, RequestHandler, ServerResponse, serve};
 use inference_router::shutdown::{Shutdown, TerminationSignals};
 use tokio::net::TcpListener;
 use tokio::task::{LocalSet, spawn_local};
@@ -24,9 +23,13 @@
         Rc::default()
     }
 
-    async fn handle(self, _: Request<Incoming>) -> ServerResponse {
+    async fn handle(self, _: Request<ClientBody>) -> ServerResponse {
         Response::new(Either::Left(Full::new(Bytes::from_static(b"answer"))))
     }
+
+    fn reject_excess_bytes(&self) -> ServerResponse {
+        Response::new(Either::Left(Full::new(Bytes::new())))
+    }
 }
 
 /// Serves until a shutdown by SIGTERM is complete, and returns the listen address.
--- a/tests/spiffe.rs
+++ b/tests/spiffe.rs
@@ -4,13 +4,15 @@
 
 use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::path::Path;
 use std::sync::Arc;
 
 use common::config_files::{chat_config, loopback_address, path_argument, write_test_file};
 use common::router_process::{ExpectedExit, RouterProcess};
+use common::stub_listener::StubListener;
 use rcgen::{BasicConstraints, CertificateParams, ExtendedKeyUsagePurpose, IsCa, Issuer, KeyPair, SanType};
 use rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName};
-use rustls::{ClientConfig, ClientConnection, RootCertStore, Stream};
+use rustls::{ClientConfig, ClientConnection, RootCertStore, StreamOwned};
 
 /// A certificate authority.
 struct Authority {
@@ -50,8 +52,11 @@
     Identity { pem: signed.pem(), certificate: signed.der().clone(), key }
 }
 
-/// Sends `GET /v1/models` with this identity and returns the response, or the error if there is none.
-fn get_models(address: &str, trusted: &Authority, identity: Option<Identity>) -> std::io::Result<String> {
+/// A client's TLS session and its socket.
+type TlsClient = StreamOwned<ClientConnection, TcpStream>;
+
+/// Connects with this identity. The handshake takes place with the first bytes.
+fn connect(address: &str, trusted: &Authority, identity: Option<Identity>) -> std::io::Result<TlsClient> {
     let mut roots = RootCertStore::empty();
     roots.add(trusted.certificate.clone()).expect("failed to add the root certificate");
     let provider = Arc::new(rustls::crypto::ring::default_provider());
@@ -66,11 +71,15 @@
         }
         None => config.with_no_client_auth(),
     };
-    let mut session =
+    let session =
         ClientConnection::new(Arc::new(config), ServerName::try_from("chat").expect("valid server name"))
             .map_err(std::io::Error::other)?;
-    let mut socket = TcpStream::connect(address)?;
-    let mut stream = Stream::new(&mut session, &mut socket);
+    Ok(StreamOwned::new(session, TcpStream::connect(address)?))
+}
+
+/// Sends `GET /v1/models` with this identity and returns the response, or the error if there is none.
+fn get_models(address: &str, trusted: &Authority, identity: Option<Identity>) -> std::io::Result<String> {
+    let mut stream = connect(address, trusted, identity)?;
     stream.write_all(b"GET /v1/models HTTP/1.1\r\nHost: chat\r\nConnection: close\r\n\r\n")?;
     let mut text = String::new();
     stream.read_to_string(&mut text)?;
@@ -80,20 +89,50 @@
 /// The only allowed identity.
 const ALLOWED_ID: &str = "spiffe://hanbit.example/partner/club";
 
-#[test]
-fn only_allowed_identities_are_served() {
-    let (trusted_authority, other_authority) = (create_authority(), create_authority());
-    let base = loopback_address();
-    let router_identity = create_identity(&trusted_authority, &["spiffe://hanbit.example/croftsill"]);
-    write_test_file(&base, "svid.pem", &router_identity.pem);
-    write_test_file(&base, "svid-key.pem", &router_identity.key.serialize_pem());
-    write_test_file(&base, "bundle.pem", &trusted_authority.pem);
+/// Starts a router that serves the chat API, with the endpoint `s1`, to clients of this authority with
+/// [`ALLOWED_ID`].
+fn start_chat_router(base: &str, trusted: &Authority) -> RouterProcess {
+    let router_identity = create_identity(trusted, &["spiffe://hanbit.example/croftsill"]);
+    write_test_file(base, "svid.pem", &router_identity.pem);
+    write_test_file(base, "svid-key.pem", &router_identity.key.serialize_pem());
+    write_test_file(base, "bundle.pem", &trusted.pem);
     let tls = format!(
         "[tls]\ncertificate = \"svid.pem\"\nkey = \"svid-key.pem\"\ntrust_bundle = \"bundle.pem\"\nallowed_ids = [\"{ALLOWED_ID}\"]\n"
     );
-    let config = chat_config(&base, &["s1"], &tls);
-    let mut router = RouterProcess::start(&base, &["--chat", path_argument(&config)], &[]);
+    let config = chat_config(base, &["s1"], &tls);
+    let variables: [(&str, &Path); 1] = [("RUST_LOG", "debug".as_ref())];
+    let mut router = RouterProcess::start(base, &["--chat", path_argument(&config)], &variables);
     router.wait_for_log("listening api=\"chat\"");
+    router
+}
+
+// Guards against a disconnect over TLS that is not noticed because nothing reads behind a chunked body.
+#[test]
+fn a_verified_client_that_disconnects_behind_a_chunked_request_is_detected() {
+    let authority = create_authority();
+    let base = loopback_address();
+    let endpoint_stub = StubListener::endpoint(&base, "s1");
+    let mut router = start_chat_router(&base, &authority);
+    let identity = create_identity(&authority, &[ALLOWED_ID]);
+    let mut client = connect(&format!("{base}:8090"), &authority, Some(identity))
+        .expect("failed to connect to the router");
+    let body = r#"{"model":"climb-assist","stream":true,"messages":[{"role":"user","content":"hello"}]}"#;
+    let head = "POST /v1/chat/completions HTTP/1.1\r\nHost: chat\r\nContent-Type: application/json\r\n";
+    let chunked = format!("{head}Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{body}\r\n0\r\n\r\n", body.len());
+    client.write_all((chunked.clone() + &chunked).as_bytes()).expect("failed to send the requests");
+    let mut attempt = endpoint_stub.accept();
+    attempt.read_message();
+    drop(client);
+    router.wait_for_log("client disconnected");
+    assert_eq!(attempt.read_to_end_or_reset(), "");
+    router.terminate();
+}
+
+#[test]
+fn only_allowed_identities_are_served() {
+    let (trusted_authority, other_authority) = (create_authority(), create_authority());
+    let base = loopback_address();
+    let router = start_chat_router(&base, &trusted_authority);
     let chat_address = format!("{base}:8090");
     let get_models_as = |authority: &Authority, uris: &[&str]| {
         get_models(&chat_address, &trusted_authority, Some(create_identity(authority, uris)))
