Open a connection for each send that a reserved KV cache waits for

Seen by callers: a prefilled request was sent on a connection that had fallen silent, and its KV cache waited 1.7 to 3.6 s at the prefill endpoint with no attempt out (limit 1.3 s).

Cause: a connection whose last response was up to 250 ms old counted as verified. A response says nothing of the time after it. A connection that was handed back unused counted as one that had just responded, so it passed for another 250 ms and stayed in the pool beyond its idle timeout.

Change: a request with a reservation is sent over a new connection, whose handshake shows that the endpoint can be reached now. A connection that is returned unused keeps its idle time and says nothing about its endpoint.

Test: a_prefilled_request_is_sent_over_a_new_connection_however_short_the_others_were_idle (idle for 110 to 1,500 ms) failed before and passes now.

--- a/src/upstream/attempt.rs
+++ b/src/upstream/attempt.rs
@@ -94,7 +94,7 @@
             let in_flight = match self.admit() {
                 Ok(in_flight) => in_flight,
                 Err(outcome) => {
-                    self.upstream.pool().put_back(self.endpoint, connection);
+                    self.upstream.pool().put_back_unused(self.endpoint, connection);
                     return Err(outcome);
                 }
             };
@@ -124,7 +124,7 @@
     async fn pooled_connection(&self) -> Result<Connection, ConnectError> {
         let pool = self.upstream.pool();
         if self.deadlines.has_reservation {
-            pool.verified_connection(self.endpoint).await
+            pool.new_connection(self.endpoint).await
         } else {
             pool.connection(self.endpoint).await
         }
--- a/src/upstream/connect.rs
+++ b/src/upstream/connect.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::AbortHandle;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::upstream::write_progress::{TrackedBody, TrackedStream, WriteProgress};
 
@@ -75,6 +75,8 @@
     progress: WriteProgress,
     driver: AbortHandle,
     reused: bool,
+    /// When the last response was received or, before the first one, when the connection was opened.
+    last_used_at: Instant,
 }
 
 impl Drop for Connection {
@@ -103,7 +105,13 @@
             // An error is reported to the request that used the connection.
             let _ = connection.await;
         });
-        Ok(Connection { sender, progress, driver: driver.abort_handle(), reused: false })
+        Ok(Connection {
+            sender,
+            progress,
+            driver: driver.abort_handle(),
+            reused: false,
+            last_used_at: Instant::now(),
+        })
     }
 
     /// Creates the body of the next request on this connection.
@@ -122,6 +130,16 @@
         self.reused
     }
 
+    /// Returns when the last response was received or, before the first one, when the connection was opened.
+    pub(super) fn last_used_at(&self) -> Instant {
+        self.last_used_at
+    }
+
+    /// Records that a complete response was received at `now`.
+    pub(super) fn record_response(&mut self, now: Instant) {
+        self.last_used_at = now;
+    }
+
     /// Returns whether the connection is known to be closed.
     pub(super) fn is_closed(&self) -> bool {
         self.sender.is_closed()
--- a/src/upstream/connection_pool.rs
+++ b/src/upstream/connection_pool.rs
@@ -21,10 +21,6 @@
 /// with a configured 30 s, and a request that crosses such a close fails with a reset.
 const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Longest time since the last response on a connection for which the connection counts as verified. A
-/// machine can fail without closing its connections, and requests sent on them are lost.
-const MAX_VERIFIED_IDLE: Duration = Duration::from_millis(250);
-
 /// Number of checks of idle connections per idle timeout. Connections exceed the timeout by at most an
 /// eighth.
 const EVICTIONS_PER_IDLE_TIMEOUT: u32 = 8;
@@ -56,8 +52,7 @@
 struct PooledEndpoint {
     address: EndpointAddress,
     idle: IdleConnections,
-    /// When a connection to the endpoint was last returned to the pool; `None` if it is uncertain whether the
-    /// endpoint responds.
+    /// When the endpoint last completed a response; `None` if it is uncertain whether the endpoint responds.
     last_response_at: Option<Instant>,
 }
 
@@ -133,39 +128,34 @@
     /// Indicates whether the endpoint or this machine is the cause if no connection is available within the
     /// connect timeout.
     pub async fn connection(&self, endpoint: EndpointId) -> Result<Connection, ConnectError> {
-        self.connection_idle_for_at_most(endpoint, self.limits.idle_timeout).await
+        while let Some(mut idle) = self.take_idle(endpoint) {
+            if idle.reuse().await {
+                self.counters.connections_reused.increment();
+                return Ok(idle);
+            }
+        }
+        self.new_connection(endpoint).await
     }
 
-    /// Returns a connection that is known to reach the endpoint: one with a very recent response, or else a
-    /// new one, which the TCP handshake has verified.
+    /// Opens a connection to the endpoint. Its handshake shows that the endpoint can be reached now, while an
+    /// idle connection may have fallen silent: a machine can fail or be cut off without closing its connections,
+    /// and what is sent on them is lost.
     ///
     /// # Errors
     ///
     /// The same as for [`connection`](Self::connection).
-    pub async fn verified_connection(&self, endpoint: EndpointId) -> Result<Connection, ConnectError> {
-        self.connection_idle_for_at_most(endpoint, MAX_VERIFIED_IDLE).await
-    }
-
-    async fn connection_idle_for_at_most(
-        &self, endpoint: EndpointId, max_idle: Duration,
-    ) -> Result<Connection, ConnectError> {
-        while let Some(mut idle) = self.take_idle(endpoint, max_idle) {
-            if idle.reuse().await {
-                self.counters.connections_reused.increment();
-                return Ok(idle);
-            }
-        }
+    pub async fn new_connection(&self, endpoint: EndpointId) -> Result<Connection, ConnectError> {
         let addr = self.address(endpoint).ok_or(ConnectError::Endpoint)?.addr;
         let timeout_cause = Cell::new(ConnectError::Local);
         let opened = timeout(self.limits.connect_timeout, self.open(addr, &timeout_cause)).await;
         opened.unwrap_or_else(|_elapsed| Err(timeout_cause.get()))
     }
 
-    fn take_idle(&self, endpoint: EndpointId, max_idle: Duration) -> Option<Connection> {
+    fn take_idle(&self, endpoint: EndpointId) -> Option<Connection> {
         let mut by_endpoint = self.by_endpoint.borrow_mut();
         let idle = &mut by_endpoint.get_mut(&endpoint)?.idle;
         idle.evict(self.limits.idle_timeout);
-        idle.take_reusable(max_idle)
+        idle.take_reusable()
     }
 
     async fn open(
@@ -196,13 +186,22 @@
         }
     }
 
-    /// Returns a connection to the pool after a complete exchange, or if no exchange was started on it.
-    pub fn put_back(&self, endpoint: EndpointId, connection: Connection) {
+    /// Returns a connection to the pool after a complete exchange.
+    pub fn put_back(&self, endpoint: EndpointId, mut connection: Connection) {
         let mut by_endpoint = self.by_endpoint.borrow_mut();
         let Some(pooled) = by_endpoint.get_mut(&endpoint) else { return };
         let now = Instant::now();
         pooled.last_response_at = Some(now);
-        pooled.idle.keep(connection, now);
+        connection.record_response(now);
+        pooled.idle.keep(connection);
+    }
+
+    /// Returns a connection to the pool if no exchange was started on it. Its idle time continues, as nothing new
+    /// is known about the endpoint.
+    pub fn put_back_unused(&self, endpoint: EndpointId, connection: Connection) {
+        if let Some(pooled) = self.by_endpoint.borrow_mut().get_mut(&endpoint) {
+            pooled.idle.keep(connection);
+        }
     }
 
     /// Closes the idle connections to an endpoint.
@@ -222,7 +221,7 @@
     }
 
     /// Calls [`invalidate`](Self::invalidate) after one of the endpoint's connections has been silent since
-    /// `silent_since`, unless another connection to it was returned to the pool since then.
+    /// `silent_since`, unless another connection to it has completed a response since then.
     pub fn invalidate_if_silent_since(&self, endpoint: EndpointId, silent_since: Instant) {
         let last_response_at =
             self.by_endpoint.borrow().get(&endpoint).and_then(|pooled| pooled.last_response_at);
--- a/src/upstream/idle_connections.rs
+++ b/src/upstream/idle_connections.rs
@@ -14,20 +14,9 @@
 /// below the pool's limit.
 const MAX_IDLE_PER_ENDPOINT: usize = 24;
 
-struct IdleConnection {
-    connection: Connection,
-    since: Instant,
-}
-
-impl IdleConnection {
-    fn is_usable(&self, idle_timeout: Duration) -> bool {
-        self.since.elapsed() < idle_timeout && !self.connection.is_closed()
-    }
-}
-
 /// The idle connections to one endpoint, ordered by the time at which they became idle.
 #[derive(Default)]
-pub(super) struct IdleConnections(Vec<IdleConnection>);
+pub(super) struct IdleConnections(Vec<Connection>);
 
 impl IdleConnections {
     /// Returns whether there are no idle connections.
@@ -37,22 +26,24 @@
 
     /// Returns when the connection that has been idle longest became idle, if there is one.
     pub(super) fn oldest_idle_since(&self) -> Option<Instant> {
-        self.0.first().map(|idle| idle.since)
+        self.0.first().map(Connection::last_used_at)
     }
 
-    /// Adds a connection that became idle at `now`, unless it is closed or the maximum is reached.
-    pub(super) fn keep(&mut self, connection: Connection, now: Instant) {
-        if !connection.is_closed() && self.0.len() < MAX_IDLE_PER_ENDPOINT {
-            self.0.push(IdleConnection { connection, since: now });
+    /// Adds a connection, which has been idle since its last use, unless it is closed or the maximum is reached.
+    pub(super) fn keep(&mut self, connection: Connection) {
+        if connection.is_closed() || self.0.len() >= MAX_IDLE_PER_ENDPOINT {
+            return;
         }
+        let position = self.0.partition_point(|idle| idle.last_used_at() <= connection.last_used_at());
+        self.0.insert(position, connection);
     }
 
-    /// Removes and returns the most recently used connection whose idle time is at least
-    /// [`MIN_IDLE_BEFORE_REUSE`] and at most `max_idle`.
-    pub(super) fn take_reusable(&mut self, max_idle: Duration) -> Option<Connection> {
-        let reusable = MIN_IDLE_BEFORE_REUSE..=max_idle;
-        let position = self.0.iter().rposition(|idle| reusable.contains(&idle.since.elapsed()))?;
-        Some(self.0.remove(position).connection)
+    /// Removes and returns the most recently used connection that has been idle for
+    /// [`MIN_IDLE_BEFORE_REUSE`].
+    pub(super) fn take_reusable(&mut self) -> Option<Connection> {
+        let is_reusable = |idle: &Connection| idle.last_used_at().elapsed() >= MIN_IDLE_BEFORE_REUSE;
+        let position = self.0.iter().rposition(is_reusable)?;
+        Some(self.0.remove(position))
     }
 
     /// Closes the connection that has been idle longest.
@@ -64,7 +55,7 @@
 
     /// Closes connections that have been idle for `idle_timeout` or that the endpoint has closed.
     pub(super) fn evict(&mut self, idle_timeout: Duration) {
-        self.0.retain(|idle| idle.is_usable(idle_timeout));
+        self.0.retain(|idle| idle.last_used_at().elapsed() < idle_timeout && !idle.is_closed());
     }
 
     /// Closes all connections.
--- a/tests/silent_endpoints.rs
+++ b/tests/silent_endpoints.rs
@@ -10,9 +10,18 @@
 use common::messages::{PREFILLED, STREAM_END, STREAM_START, request};
 use common::router_process::start_router;
 use common::stub_listener::StubListener;
+use common::stubbed_router::{StubbedRouter, start_stream};
 
 /// Longer than any sequence of calls that time out one after another.
 const SILENCE_DURATION: Duration = Duration::from_millis(900);
+/// Idle times of a connection before the next send to its endpoint: from the shortest after which it can be reused
+/// to one just below the pool's idle timeout.
+const IDLE_TIMES: [Duration; 4] = [
+    Duration::from_millis(110),
+    Duration::from_millis(160),
+    Duration::from_millis(230),
+    Duration::from_millis(1_500),
+];
 /// The response to the release of a reservation.
 const RELEASE_RESPONSE: &str = "HTTP/1.1 204 No Content\r\n\r\n";
 
@@ -50,6 +59,26 @@
     router.process.terminate();
 }
 
+// Guards against a KV cache that waits for a send swallowed by a connection that fell silent right after a response.
+#[test]
+fn a_prefilled_request_is_sent_over_a_new_connection_however_short_the_others_were_idle() {
+    for idle_time in IDLE_TIMES {
+        let router = StubbedRouter::start(&[]);
+        let mut client = router.client();
+        client.send(&request("n1", "climb-query", 6_000));
+        let mut connections = router.answer_request("n1", &mut client);
+        // From here on, the decode endpoint does not respond on its idle connection, which reports no error.
+        std::thread::sleep(idle_time);
+        client.send(&request("n2", "climb-query", 6_000));
+        answer_prefill(&mut connections[0], "n2");
+        let mut stream = start_stream(&router.decode_stub, "n2");
+        stream.send(STREAM_END);
+        client.read_until("0\r\n\r\n");
+        let log = router.process.terminate();
+        assert!(!log.contains("TimedOut"), "{log}");
+    }
+}
+
 #[test]
 fn a_prefilled_request_is_not_sent_over_an_unverified_connection() {
     let base = loopback_address();
