End an unanswered send while its reserved KV cache can be released in time

Seen by callers: a send swallowed by a silent connection kept its KV cache waiting until the attempt's timeout, 4 times the expected time and 300 ms, and then for another reservation limit.

Cause: nothing bounded the wait for an answer by the reservation limit, only the start of the attempt. A timeout counted as proof that the attempt had reached its endpoint and restarted the reservation's time, in the scheduler and in the violation count, which so saw nothing. Evidence: in the debug log of a test an attempt with a reserved KV cache times out after 700, 1,353 and 1,804 ms, each time followed by a further attempt with the same cache (limit 1,000 ms).

Change: an attempt with a reserved KV cache ends by 0.9 of the limit, unless the expected time is too long for that (then its new connection has to do). A timeout no longer counts as arrival: the next attempt is requested at once, or the cache is released. Two attempts lost in a row, each on a new connection, are not covered. `held_unanswered` counts attempts that ended without an answer beyond the limit.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -116,6 +116,9 @@
     violations_concurrent_attempt => "violations_second_attempt",
     /// Violations: reservations held for longer than the limit.
     violations_reservation_overrun => "violations_held_too_long",
+    /// Attempts without an answer that ended after the limit of their reservation. The limit was exceeded if
+    /// the attempt never arrived.
+    reservations_unanswered => "held_unanswered",
     /// Violations: final answers sent after the deadline.
     violations_late_answer => "violations_answered_late",
     /// Violations: requests that ended without a final answer although the client was waiting.
--- a/src/request/reservation.rs
+++ b/src/request/reservation.rs
@@ -50,14 +50,32 @@
         self.reserved_since = Some(Instant::now());
     }
 
-    /// Records an attempt that ended `elapsed` after it was sent. If it reached its endpoint, the
-    /// reservation's time restarts.
+    /// Records an attempt that ended `elapsed` after it was sent. If it reached its endpoint, or probably
+    /// did, the reservation's time restarts.
     pub(super) fn record_attempt(&mut self, outcome: Outcome, elapsed: Micros) {
-        if outcome.reached_endpoint(elapsed) && self.is_held() {
+        let Some(reserved_since) = self.reserved_since else { return };
+        if outcome == Outcome::TimedOut {
+            self.check_unanswered_attempt(reserved_since.elapsed());
+            self.start();
+        } else if outcome.reached_endpoint(elapsed) {
             self.start();
         }
     }
 
+    /// Counts an unanswered attempt that ended after the reservation's limit. If its connection fell silent
+    /// before the request arrived, the limit was exceeded.
+    fn check_unanswered_attempt(&self, reserved: Duration) {
+        if reserved <= self.upstream.max_reservation() + RESERVATION_LIMIT_TOLERANCE {
+            return;
+        }
+        self.upstream.counters().reservations_unanswered.increment();
+        tracing::info!(
+            request_id = %self.request_id,
+            reserved_ms = reserved.as_millis(),
+            "reservation was held beyond its limit for an attempt without an answer"
+        );
+    }
+
     /// Ends the reservation after a decode endpoint has fetched the KV cache.
     pub(super) fn mark_transferred(&mut self) {
         self.reserved_since = None;
--- a/src/scheduler/attempt.rs
+++ b/src/scheduler/attempt.rs
@@ -6,9 +6,8 @@
 use super::estimates::{PREFILL_OVERHEAD_TOKENS, UNRESPONSIVE_ALLOWANCE_US};
 use super::ids::{EndpointId, Micros, RequestId};
 use super::outcome::Outcome;
-use super::request::{
-    CacheReservation, ExecutionSite, LocallyUnreachable, PossibleExecution, Request, RequestState,
-};
+use super::request::{ExecutionSite, LocallyUnreachable, PossibleExecution, Request, RequestState};
+use super::reservation::CacheReservation;
 use super::retry::ATTEMPTS_FOR_PREFILL_AND_DECODE;
 
 /// Attempt timeout as a multiple of the expected time to the first response.
@@ -67,13 +66,15 @@
         request.requested_attempts += 1;
         request.last_progress_at = now;
         let time_left = (request.deadline - now).max(1) as f64;
+        let reservation_left =
+            request.reservation_response_deadline(&self.settings).map(|until| (until - now) as f64);
         let timeout = if request.spec.unary && endpoint.pool() == Pool::Decode {
             // A unary response gives no intermediate progress, so its attempt may use all of the remaining
             // time.
             time_left as Micros
         } else {
             endpoint.pending_attempts.insert(id, now);
-            attempt_timeout(expected, time_left)
+            attempt_timeout(expected, time_left, reservation_left)
         };
         let start_within = request.start_deadline(&self.settings).map(|until| until - now);
         self.reset_slow_start_budget(now, to, 0.0);
@@ -216,11 +217,7 @@
         let unusable = transfer_stalled || result.outcome == Outcome::Malformed;
         match request.reservation() {
             Some(mut reservation) if !unusable => {
-                // An attempt that did not reach its endpoint does not count as in flight, so the KV cache has
-                // been waiting all the time.
-                if result.outcome.reached_endpoint(result.elapsed) {
-                    reservation.reserved_since = now;
-                }
+                reservation.record_attempt(now, result.outcome, result.elapsed);
                 request.state = RequestState::Prefilled(reservation);
             }
             _ => self.release_and_enqueue(id, actions),
@@ -270,9 +267,11 @@
 }
 
 /// Returns the attempt's timeout in microseconds. It leaves time for another attempt after an unresponsive
-/// endpoint, unless the expected time is too long for that; see [`MIN_TIMEOUT_MULTIPLE`].
-fn attempt_timeout(expected: f64, time_left: f64) -> Micros {
-    let share = time_left * MAX_ATTEMPT_FRACTION;
-    let max_timeout = if share > expected * MIN_TIMEOUT_MULTIPLE { share } else { time_left };
+/// endpoint, and ends while a reserved KV cache can still be released in time if the request never arrived.
+/// Neither maximum applies if the expected time is too long for it; see [`MIN_TIMEOUT_MULTIPLE`].
+fn attempt_timeout(expected: f64, time_left: f64, reservation_left: Option<f64>) -> Micros {
+    let maxima = [Some(time_left * MAX_ATTEMPT_FRACTION), reservation_left];
+    let applicable = maxima.into_iter().flatten().filter(|max| *max > expected * MIN_TIMEOUT_MULTIPLE);
+    let max_timeout = applicable.fold(time_left, f64::min);
     (expected * TIMEOUT_MULTIPLE + UNRESPONSIVE_ALLOWANCE_US).min(max_timeout) as Micros
 }
--- a/src/scheduler/decode_selection.rs
+++ b/src/scheduler/decode_selection.rs
@@ -6,7 +6,8 @@
 use super::endpoint::{EndpointState, Pool};
 use super::hashing::rendezvous_score;
 use super::ids::{EndpointId, Micros, RequestId};
-use super::request::{CacheReservation, Request, RequestState};
+use super::request::{Request, RequestState};
+use super::reservation::CacheReservation;
 use super::retry::FINAL_ANSWER_MARGIN;
 
 /// Exponent of the headroom in a decode endpoint's weight. Favors the endpoint with the most headroom
@@ -17,9 +18,6 @@
 const OTHER_ZONE_WEIGHT: f64 = 0.25;
 /// Fraction of the reservation limit after which a KV cache may go to a decode endpoint that fails the check.
 const UNCHECKED_DECODE_FRACTION: f64 = 0.4;
-/// Fraction of the reservation limit after which a KV cache is released; an attempt sent later could not
-/// start in time.
-const RELEASE_FRACTION: f64 = 0.8;
 
 /// Criteria for selecting a decode endpoint.
 #[derive(Clone, Copy)]
@@ -103,13 +101,7 @@
     fn must_release(&self, now: Micros, request: &Request, reservation: CacheReservation) -> bool {
         request.attempts() >= self.settings.capabilities.max_attempts
             || now >= request.deadline - FINAL_ANSWER_MARGIN
-            || self.reserved_fraction(now, reservation) >= RELEASE_FRACTION
-    }
-
-    /// Returns the time for which a KV cache has been reserved, as a fraction of the reservation limit.
-    fn reserved_fraction(&self, now: Micros, reservation: CacheReservation) -> f64 {
-        let reserved_for = (now - reservation.reserved_since) as f64;
-        reserved_for / self.settings.rules.reservation_limit.max(1) as f64
+            || now >= reservation.release_at(self.settings.rules.reservation_limit)
     }
 
     /// Selects the decode endpoint for a reserved KV cache. In order of preference: the endpoint assigned at
@@ -126,11 +118,12 @@
         let prefill = self.endpoints.get(&reservation.prefill_endpoint);
         let checked = DecodeCriteria { now, request, prefill, check: Some(check) };
         let unchecked = DecodeCriteria { check: None, ..checked };
+        let limit = self.settings.rules.reservation_limit;
         self.select_decode(&checked, |endpoint| endpoint.streams.contains(&request.id()))
             .or_else(|| self.select_outside_unresponsive_cell(&checked))
             .or_else(|| self.select_nearest(&checked))
             .or_else(|| {
-                let may_skip_check = self.reserved_fraction(now, reservation) >= UNCHECKED_DECODE_FRACTION;
+                let may_skip_check = reservation.reserved_fraction(now, limit) >= UNCHECKED_DECODE_FRACTION;
                 if may_skip_check { self.select_nearest(&unchecked) } else { None }
             })
     }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -4,8 +4,8 @@
 //! The algorithm is the online phase of SABER: a request waits in one of two queue tiers (`queue`) until a
 //! check against a decode endpoint's speed curve (`decode_capacity`) admits it (`admission`).
 //! `prefill_selection` and `decode_selection` choose its endpoints, `attempt` sends it and handles outcomes,
-//! and `retry` decides whether it may be retried. `slow_start`, `outlier` and `load_report` limit how much
-//! each endpoint is sent.
+//! `reservation` limits how long its KV cache waits, and `retry` decides whether it may be retried.
+//! `slow_start`, `outlier` and `load_report` limit how much each endpoint is sent.
 
 mod action;
 mod admission;
@@ -28,6 +28,7 @@
 mod quota;
 mod registry;
 mod request;
+mod reservation;
 mod retry;
 mod settings;
 mod slow_start;
--- a/src/scheduler/outcome.rs
+++ b/src/scheduler/outcome.rs
@@ -37,14 +37,11 @@
 }
 
 impl Outcome {
-    /// Returns whether this outcome, `elapsed` after the send, shows that the attempt reached its endpoint.
+    /// Returns whether this outcome, `elapsed` after the send, shows that the attempt reached its endpoint. A
+    /// timeout does not: the connection may have fallen silent before the request arrived.
     pub fn reached_endpoint(self, elapsed: Micros) -> bool {
         match self {
-            Outcome::Rejected
-            | Outcome::StateMissing
-            | Outcome::Error
-            | Outcome::TimedOut
-            | Outcome::Malformed => true,
+            Outcome::Rejected | Outcome::StateMissing | Outcome::Error | Outcome::Malformed => true,
             Outcome::ConnectionLost => elapsed >= STALE_CONNECTION_WINDOW,
             _ => false,
         }
--- a/src/scheduler/request.rs
+++ b/src/scheduler/request.rs
@@ -3,6 +3,7 @@
 use super::event::RequestSpec;
 use super::ids::{CellId, EndpointId, Micros, RequestId, ZoneId};
 use super::queue::{QueueEntry, Tier};
+use super::reservation::CacheReservation;
 use super::settings::RequestClass;
 
 /// Expected output length as a fraction of the maximum, if the request has no hint.
@@ -31,23 +32,6 @@
     Streaming(Option<CacheReservation>),
 }
 
-/// A KV cache reserved at a prefill endpoint.
-#[derive(Clone, Copy)]
-pub(super) struct CacheReservation {
-    pub(super) prefill_endpoint: EndpointId,
-    /// When the KV cache started to wait without an attempt in flight.
-    pub(super) reserved_since: Micros,
-    /// Number of decode endpoints that did not respond when sent this KV cache.
-    pub(super) failed_transfers: u32,
-}
-
-impl CacheReservation {
-    /// Creates a reservation that starts now.
-    pub(super) fn new(prefill_endpoint: EndpointId, now: Micros) -> Self {
-        CacheReservation { prefill_endpoint, reserved_since: now, failed_transfers: 0 }
-    }
-}
-
 /// An attempt that may have executed the request.
 #[derive(Clone, Copy)]
 pub(super) struct PossibleExecution {
--- a/src/scheduler/retry.rs
+++ b/src/scheduler/retry.rs
@@ -16,8 +16,6 @@
 /// Safety margin at the end of a deduplication window: time for a handshake and for the request to reach the
 /// endpoint.
 const DEDUPLICATION_MARGIN: Micros = 100_000;
-/// Fraction of the reservation limit within which an attempt with a reserved KV cache must start.
-const RESERVED_START_FRACTION: f64 = 0.9;
 
 impl Request {
     /// Returns the latest start of the next attempt, or `None` if unlimited. Needed because a connection may
@@ -34,8 +32,13 @@
     /// Returns the latest start of an attempt that uses the reserved KV cache.
     fn reservation_start_deadline(&self, settings: &Settings) -> Option<Micros> {
         let RequestState::Decoding(Some(reservation)) = self.state else { return None };
-        let usable_for = (settings.rules.reservation_limit as f64 * RESERVED_START_FRACTION) as Micros;
-        Some(reservation.reserved_since.saturating_add(usable_for))
+        Some(reservation.start_deadline(settings.rules.reservation_limit))
+    }
+
+    /// Returns when an attempt that uses the reserved KV cache must have been answered.
+    pub(super) fn reservation_response_deadline(&self, settings: &Settings) -> Option<Micros> {
+        let RequestState::Decoding(Some(reservation)) = self.state else { return None };
+        Some(reservation.response_deadline(settings.rules.reservation_limit))
     }
 
     /// Returns the latest start of an attempt that could execute a keyed request a second time.
