--- a/src/server/client_body.rs
+++ b/src/server/client_body.rs
@@ -9,8 +9,8 @@
 
 use super::connection_state::ClientState;
 
-/// A request body that reports its end to the state of its connection. From then on the connection is watched for
-/// a disconnect of the client.
+/// A request body that reports its end to the state of its connection. From then on the connection is watched
+/// for a disconnect of the client.
 pub struct ClientBody {
     incoming: Incoming,
     client: Rc<ClientState>,
@@ -22,8 +22,9 @@
         ClientBody { incoming, client }
     }
 
-    /// Waits, after the end of the body, until the connection was found to be open with no bytes left to read. A
-    /// client that disconnected right behind its request is noticed here, which drops the caller's future.
+    /// Waits, after the end of the body, until the connection was found to be open with no bytes left to
+    /// read. A client that disconnected right behind its request is noticed here, which drops the caller's
+    /// future.
     pub(super) async fn client_found_connected(&self) {
         self.client.progress().found_open().await;
     }
--- a/src/server/client_stream.rs
+++ b/src/server/client_stream.rs
@@ -78,10 +78,10 @@
         ClientStream { io: self.io.clone(), state: self.state.clone() }
     }
 
-    /// Waits for the client to close the connection between the end of its request and the response. hyper does
-    /// not detect a close while it holds bytes that it has not parsed. The connection is closed after a response
-    /// to a request with bytes behind it, so these are discarded. Must be polled in the task of the connection,
-    /// as the end of the request does not wake it.
+    /// Waits for the client to close the connection between the end of its request and the response. hyper
+    /// does not detect a close while it holds bytes that it has not parsed. The connection is closed after a
+    /// response to a request with bytes behind it, so these are discarded. Must be polled in the task of the
+    /// connection, as the end of the request does not wake it.
     pub async fn closed_after_request(&self) {
         poll_fn(|cx| self.poll_closed_after_request(cx)).await;
     }
@@ -122,7 +122,8 @@
         }
     }
 
-    /// Reads and discards available bytes. Returns their number, which is 0 if the stream has ended or failed.
+    /// Reads and discards available bytes. Returns their number, which is 0 if the stream has ended or
+    /// failed.
     fn poll_discard(&self, cx: &mut Context<'_>) -> Poll<usize> {
         let mut scratch = [MaybeUninit::uninit(); DISCARD_BUFFER_SIZE];
         let mut buffer = ReadBuf::uninit(&mut scratch);
--- a/src/server/request_progress.rs
+++ b/src/server/request_progress.rs
@@ -5,11 +5,11 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
-/// Maximum number of bytes that a client may send behind a request that has no response yet: several requests of
-/// the maximum size.
+/// Maximum number of bytes that a client may send behind a request that has no response yet: several requests
+/// of the maximum size.
 const MAX_EXCESS_BYTES: usize = 1024 * 1024;
-/// Time without further bytes after which a client that has sent some behind its request counts as connected. Its
-/// close would arrive behind the bytes that its system still holds.
+/// Time without further bytes after which a client that has sent some behind its request counts as connected.
+/// Its close would arrive behind the bytes that its system still holds.
 const EXCESS_PAUSE: Duration = Duration::from_millis(10);
 
 /// What has been read of the current request.
@@ -23,7 +23,8 @@
     Received {
         /// Bytes behind the body that were discarded.
         excess_bytes: usize,
-        /// Whether all available bytes have been read since then and the client had not closed the connection.
+        /// Whether all available bytes have been read since then and the client had not closed the
+        /// connection.
         found_open: bool,
     },
 }
@@ -97,8 +98,8 @@
         });
     }
 
-    /// Waits until the connection was found to be open after the end of the body and, if bytes followed the body,
-    /// until no more arrive for [`EXCESS_PAUSE`].
+    /// Waits until the connection was found to be open after the end of the body and, if bytes followed the
+    /// body, until no more arrive for [`EXCESS_PAUSE`].
     pub(super) async fn found_open(&self) {
         // Waits on a watch channel fail only when its sender is dropped, which outlives this future.
         let mut changes = self.0.subscribe();
--- a/src/upstream/connection_pool.rs
+++ b/src/upstream/connection_pool.rs
@@ -138,8 +138,8 @@
     }
 
     /// Opens a connection to the endpoint. Its handshake shows that the endpoint can be reached now, while an
-    /// idle connection may have fallen silent: a machine can fail or be cut off without closing its connections,
-    /// and what is sent on them is lost.
+    /// idle connection may have fallen silent: a machine can fail or be cut off without closing its
+    /// connections, and what is sent on them is lost.
     ///
     /// # Errors
     ///
@@ -196,8 +196,8 @@
         pooled.idle.keep(connection);
     }
 
-    /// Returns a connection to the pool if no exchange was started on it. Its idle time continues, as nothing new
-    /// is known about the endpoint.
+    /// Returns a connection to the pool if no exchange was started on it. Its idle time continues, as nothing
+    /// new is known about the endpoint.
     pub fn put_back_unused(&self, endpoint: EndpointId, connection: Connection) {
         if let Some(pooled) = self.by_endpoint.borrow_mut().get_mut(&endpoint) {
             pooled.idle.keep(connection);
--- a/src/upstream/idle_connections.rs
+++ b/src/upstream/idle_connections.rs
@@ -29,7 +29,8 @@
         self.0.first().map(Connection::last_used_at)
     }
 
-    /// Adds a connection, which has been idle since its last use, unless it is closed or the maximum is reached.
+    /// Adds a connection, which has been idle since its last use, unless it is closed or the maximum is
+    /// reached.
     pub(super) fn keep(&mut self, connection: Connection) {
         if connection.is_closed() || self.0.len() >= MAX_IDLE_PER_ENDPOINT {
             return;
--- a/src/upstream/send_gate.rs
+++ b/src/upstream/send_gate.rs
@@ -41,8 +41,8 @@
     pub response_deadline: Instant,
     /// Deadline for the start of the attempt; `None` if there is no limit.
     pub start_deadline: Option<Instant>,
-    /// Whether a reservation is held for the request until the attempt arrives. The attempt then requires a new
-    /// connection.
+    /// Whether a reservation is held for the request until the attempt arrives. The attempt then requires a
+    /// new connection.
     pub has_reservation: bool,
 }
 
--- a/tests/client_disconnects.rs
+++ b/tests/client_disconnects.rs
@@ -11,7 +11,8 @@
 use common::stub_listener::StubListener;
 use common::stubbed_router::StubbedRouter;
 
-/// Time after a client's disconnect from which on no attempt may start: the rule's 0.1 s, and 50 ms for sockets.
+/// Time after a client's disconnect from which on no attempt may start: the rule's 0.1 s, and 50 ms for
+/// sockets.
 const DISCONNECT_GRACE: Duration = Duration::from_millis(150);
 /// How long a client sends bytes behind its request before it disconnects.
 const FLOOD_DURATION: Duration = Duration::from_millis(20);
@@ -53,8 +54,8 @@
     Flood,
 }
 
-/// Sends a request and more bytes and disconnects during the prefill, which then completes. No attempt may start
-/// later than [`DISCONNECT_GRACE`] after the disconnect.
+/// Sends a request and more bytes and disconnects during the prefill, which then completes. No attempt may
+/// start later than [`DISCONNECT_GRACE`] after the disconnect.
 fn check_disconnect_during_prefill(request_text: &str, excess: Excess, way: Disconnect) {
     let router = StubbedRouter::start(&[]);
     let mut client = router.client();
--- a/tests/common/connection.rs
+++ b/tests/common/connection.rs
@@ -170,8 +170,8 @@
         usize::from_str_radix(receive_queue, 16).expect("queue length is not hexadecimal")
     }
 
-    /// Writes copies of `text` for `duration`, as fast as the connection takes them. Returns the number of bytes
-    /// written.
+    /// Writes copies of `text` for `duration`, as fast as the connection takes them. Returns the number of
+    /// bytes written.
     pub(crate) fn flood(&mut self, text: &str, duration: Duration) -> usize {
         self.socket.set_nonblocking(true).expect("failed to make the socket non-blocking");
         let deadline = Instant::now() + duration;
--- a/tests/silent_endpoints.rs
+++ b/tests/silent_endpoints.rs
@@ -14,8 +14,8 @@
 
 /// Longer than any sequence of calls that time out one after another.
 const SILENCE_DURATION: Duration = Duration::from_millis(900);
-/// Idle times of a connection before the next send to its endpoint: from the shortest after which it can be reused
-/// to one just below the pool's idle timeout.
+/// Idle times of a connection before the next send to its endpoint: from the shortest after which it can be
+/// reused to one just below the pool's idle timeout.
 const IDLE_TIMES: [Duration; 4] = [
     Duration::from_millis(110),
     Duration::from_millis(160),
@@ -59,7 +59,8 @@
     router.process.terminate();
 }
 
-// Guards against a KV cache that waits for a send swallowed by a connection that fell silent right after a response.
+// Guards against a KV cache that waits for a send swallowed by a connection that fell silent right after a
+// response.
 #[test]
 fn a_prefilled_request_is_sent_over_a_new_connection_however_short_the_others_were_idle() {
     for idle_time in IDLE_TIMES {
