Release a KV cache over new connections after the first call

Seen by callers: where many endpoints have idle connections that fell silent, the release of a KV cache went from one to the next, 50 ms apart, while the cache stayed reserved past its limit. Prompts waited for the memory.

A release calls the endpoints with an idle connection first and used that connection, however old; each call that is swallowed costs 50 ms, so 8 endpoints cost 0.4 s and 100 would cost 5 s.

Change: only the first call of a release may use an idle connection; all others open one.

--- a/src/upstream/control_call.rs
+++ b/src/upstream/control_call.rs
@@ -18,6 +18,15 @@
 /// Path of an endpoint's load report.
 const HEALTH_CHECK_PATH: &str = "/-/load";
 
+/// The connection to use for a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallConnection {
+    /// An idle connection, or a new one if there is none.
+    Pooled,
+    /// A new connection, as an idle one may have fallen silent.
+    New,
+}
+
 /// The result of a health check.
 pub struct HealthCheckResult {
     /// [`Outcome::Completed`] if the endpoint is healthy.
@@ -29,15 +38,18 @@
 impl Upstream {
     /// Sends a `DELETE` to one endpoint, which releases everything reserved for the request at any endpoint.
     /// Returns whether this endpoint accepted the call.
-    pub async fn release_at(&self, endpoint: EndpointId, request_id: &str) -> bool {
-        let response = self.call(endpoint, Method::DELETE, &format!("/kv/leases/{request_id}")).await;
+    pub async fn release_at(
+        &self, endpoint: EndpointId, request_id: &str, connection: CallConnection,
+    ) -> bool {
+        let path = format!("/kv/leases/{request_id}");
+        let response = self.call(endpoint, connection, Method::DELETE, &path).await;
         response.is_some_and(|response| response.status().is_success())
     }
 
     /// Checks whether an endpoint responds, and reads its load report.
     pub async fn health_check(&self, endpoint: EndpointId) -> HealthCheckResult {
         self.counters().health_checks.increment();
-        let call = self.call(endpoint, Method::GET, HEALTH_CHECK_PATH);
+        let call = self.call(endpoint, CallConnection::Pooled, Method::GET, HEALTH_CHECK_PATH);
         let outcome = match timeout(HEALTH_CHECK_TIMEOUT, call).await {
             Ok(Some(response)) if response.status() == StatusCode::OK => {
                 let load_report = load_report::parse(response.body());
@@ -51,8 +63,14 @@
     }
 
     /// Sends a request without a body. Returns the complete response, or `None` if it was not received.
-    async fn call(&self, endpoint: EndpointId, method: Method, path: &str) -> Option<Response<Bytes>> {
-        let mut connection = self.pool().connection(endpoint).await.ok()?;
+    async fn call(
+        &self, endpoint: EndpointId, connection: CallConnection, method: Method, path: &str,
+    ) -> Option<Response<Bytes>> {
+        let connection = match connection {
+            CallConnection::Pooled => self.pool().connection(endpoint).await,
+            CallConnection::New => self.pool().new_connection(endpoint).await,
+        };
+        let mut connection = connection.ok()?;
         let no_body = connection.body(Bytes::new());
         let mut request = Request::builder().method(method).uri(path).body(no_body).ok()?;
         request_head::insert_host(request.headers_mut(), self.pool().address(endpoint).as_ref());
--- a/src/upstream/release.rs
+++ b/src/upstream/release.rs
@@ -8,6 +8,7 @@
 use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::scheduler::EndpointId;
+use crate::upstream::control_call::CallConnection;
 use crate::upstream::exchange::Upstream;
 
 /// Time for an endpoint to accept the call before the next endpoint is called in parallel. Most of the
@@ -32,6 +33,9 @@
 struct ReleaseCalls {
     upstream: Rc<Upstream>,
     request_id: Rc<str>,
+    /// The connection for the next call. Only the first call may use an idle one: if that has fallen silent,
+    /// others probably have as well.
+    connection: CallConnection,
     in_flight: JoinSet<CallResult>,
     /// The endpoints that have not been called in this round.
     remaining: VecDeque<EndpointId>,
@@ -39,7 +43,13 @@
 
 impl ReleaseCalls {
     fn new(upstream: Rc<Upstream>, request_id: Rc<str>) -> Self {
-        ReleaseCalls { upstream, request_id, in_flight: JoinSet::new(), remaining: VecDeque::new() }
+        ReleaseCalls {
+            upstream,
+            request_id,
+            connection: CallConnection::Pooled,
+            in_flight: JoinSet::new(),
+            remaining: VecDeque::new(),
+        }
     }
 
     /// Calls the next endpoint, in order of likelihood to respond. A new round starts after the last
@@ -49,7 +59,9 @@
             self.remaining = self.upstream.pool().endpoints_by_reachability().into();
         }
         let Some(endpoint) = self.remaining.pop_front() else { return };
-        self.in_flight.spawn_local(call_endpoint(self.upstream.clone(), endpoint, self.request_id.clone()));
+        let call = call_endpoint(self.upstream.clone(), endpoint, self.request_id.clone(), self.connection);
+        self.in_flight.spawn_local(call);
+        self.connection = CallConnection::New;
     }
 
     /// Waits until `deadline` for the next call to end. Returns `None` if none does.
@@ -81,8 +93,10 @@
     }
 }
 
-async fn call_endpoint(upstream: Rc<Upstream>, endpoint: EndpointId, request_id: Rc<str>) -> CallResult {
-    let release = upstream.release_at(endpoint, &request_id);
+async fn call_endpoint(
+    upstream: Rc<Upstream>, endpoint: EndpointId, request_id: Rc<str>, connection: CallConnection,
+) -> CallResult {
+    let release = upstream.release_at(endpoint, &request_id, connection);
     let accepted = timeout(RELEASE_CALL_TIMEOUT, release).await.unwrap_or(false);
     if !accepted {
         upstream.pool().invalidate(endpoint);
--- a/tests/silent_endpoints.rs
+++ b/tests/silent_endpoints.rs
@@ -22,6 +22,8 @@
     Duration::from_millis(230),
     Duration::from_millis(1_500),
 ];
+/// Number of requests that leave idle connections to endpoints behind.
+const IDLE_REQUESTS: usize = 8;
 /// The response to the release of a reservation.
 const RELEASE_RESPONSE: &str = "HTTP/1.1 204 No Content\r\n\r\n";
 
@@ -80,6 +82,51 @@
     }
 }
 
+// Guards against a release that goes from one silent connection to the next while the KV cache stays
+// reserved.
+#[test]
+fn a_release_uses_at_most_one_idle_connection() {
+    let base = loopback_address();
+    let prefill_stub = StubListener::endpoint(&base, "r1");
+    let names = ["w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8"];
+    let decode_stubs = names.map(|name| StubListener::endpoint(&base, name));
+    let listeners: Vec<&StubListener> = decode_stubs.iter().collect();
+    let mut router = start_router(&base, &[&["r1"], &names[..]].concat(), &[]);
+    let mut clients: Vec<_> = (0..IDLE_REQUESTS).map(|_| connect_client(&base)).collect();
+    let mut idle = Vec::new();
+    for (number, client) in clients.iter_mut().enumerate() {
+        client.send(&request(&format!("i{number}"), "climb-query", 6_000));
+        let mut prefill = prefill_stub.accept();
+        answer_prefill(&mut prefill, &format!("i{number}"));
+        let (_, mut stream) = StubListener::accept_any(&listeners);
+        stream.read_message();
+        stream.send(STREAM_START);
+        stream.send(STREAM_END);
+        client.read_until("0\r\n\r\n");
+        idle.push(stream);
+    }
+    // From here on, endpoints do not respond on their idle connections, which report no error.
+    let mut client = connect_client(&base);
+    client.send(&request("s1", "climb-query", 6_000));
+    let mut prefill = prefill_stub.accept();
+    answer_prefill(&mut prefill, "s1");
+    let (_, mut unanswered) = StubListener::accept_any(&listeners);
+    unanswered.read_message();
+    // Long enough for the idle connections to be reusable.
+    std::thread::sleep(IDLE_TIMES[0]);
+    client.close();
+    router.process.wait_for_log("releasing reservation request_id=s1");
+    let all_listeners: Vec<&StubListener> = listeners.iter().copied().chain([&prefill_stub]).collect();
+    let (_, mut new_connection) = StubListener::accept_any(&all_listeners);
+    assert_eq!(new_connection.read_message().head.lines().next(), Some("DELETE /kv/leases/s1 HTTP/1.1"));
+    new_connection.send(RELEASE_RESPONSE);
+    router.process.wait_for_log("reservation released request_id=s1");
+    router.process.terminate();
+    idle.push(prefill);
+    let swallowed = idle.into_iter().filter_map(|mut connection| connection.read_message_or_end()).count();
+    assert!(swallowed <= 1, "{swallowed} releases were sent on idle connections");
+}
+
 #[test]
 fn a_prefilled_request_is_not_sent_over_an_unverified_connection() {
     let base = loopback_address();
