Keep the time of a reservation when its release is aborted

Seen by operators: a KV cache whose release no endpoint had accepted for 250 ms before a further prefill was counted from then on as newly reserved, so that `violations_held_too_long` missed caches held past the limit.

Cause: the aborted release restarted the reservation's time, though a release that was swallowed by silent connections has freed nothing. It is the same confusion as with unanswered sends: what was sent was taken for what had arrived. Evidence: in the test the cache is reserved for 1.5 s and the log has no violation.

Change: a started release remembers since when the cache has been reserved, and an abort restores that time.

Test: a_release_that_is_aborted_before_a_prefill_does_not_restart_the_time_of_its_reservation failed before and passes now.

--- a/src/request/reservation.rs
+++ b/src/request/reservation.rs
@@ -31,13 +31,20 @@
     /// is no reservation.
     reserved_since: Option<Instant>,
     /// The last release that was started. It may have completed.
-    release_task: Option<JoinHandle<()>>,
+    release: Option<StartedRelease>,
+}
+
+/// A release that was started.
+struct StartedRelease {
+    task: JoinHandle<()>,
+    /// Since when the KV cache to release may have been waiting.
+    reserved_since: Instant,
 }
 
 impl Reservation {
     /// Creates an empty reservation.
     pub(super) fn new(upstream: Rc<Upstream>, request_id: Rc<str>) -> Self {
-        Reservation { upstream, request_id, reserved_since: None, release_task: None }
+        Reservation { upstream, request_id, reserved_since: None, release: None }
     }
 
     /// Returns whether a KV cache may be reserved at an endpoint.
@@ -90,7 +97,7 @@
         tracing::debug!(request_id = %self.request_id, "releasing reservation");
         let released =
             release_and_check_limit(self.upstream.clone(), self.request_id.clone(), reserved_since);
-        self.release_task = Some(spawn_local(released));
+        self.release = Some(StartedRelease { task: spawn_local(released), reserved_since });
     }
 
     /// Releases the reservation of an earlier prefill and waits for completion.
@@ -99,19 +106,20 @@
     /// prefill's KV cache. When this returns, the release is complete or its connection is closed.
     pub(super) async fn release_before_prefill(&mut self) {
         self.release();
-        let Some(release_task) = &mut self.release_task else { return };
-        if timeout(RELEASE_BEFORE_PREFILL_TIMEOUT, &mut *release_task).await.is_err() {
-            release_task.abort();
-            self.start();
+        let Some(release) = &mut self.release else { return };
+        if timeout(RELEASE_BEFORE_PREFILL_TIMEOUT, &mut release.task).await.is_err() {
+            release.task.abort();
+            // No endpoint has accepted the release, so the KV cache may have been waiting all the time.
+            self.reserved_since = Some(release.reserved_since);
         }
-        self.release_task = None;
+        self.release = None;
     }
 
     /// Releases the reservation, if there is one, and waits for completion, however the request ended.
     pub(super) async fn finish(mut self) {
         self.release();
-        if let Some(release_task) = self.release_task.take() {
-            let _ = release_task.await;
+        if let Some(release) = self.release.take() {
+            let _ = release.task.await;
         }
     }
 }
--- a/tests/common/stubbed_router.rs
+++ b/tests/common/stubbed_router.rs
@@ -27,7 +27,7 @@
 
 /// A running router with a prefill stub and a decode stub.
 pub(crate) struct StubbedRouter {
-    base: String,
+    pub(crate) base: String,
     /// The endpoint `r1`.
     pub(crate) prefill_stub: StubListener,
     /// The endpoint `w1`.
--- a/tests/silent_endpoints.rs
+++ b/tests/silent_endpoints.rs
@@ -3,12 +3,12 @@
 
 mod common;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use common::config_files::loopback_address;
 use common::connection::{Connection, connect_client};
 use common::messages::{PREFILLED, STREAM_END, STREAM_START, request};
-use common::router_process::start_router;
+use common::router_process::{RouterProcess, start_router};
 use common::stub_listener::StubListener;
 use common::stubbed_router::{StubbedRouter, start_stream};
 
@@ -22,6 +22,8 @@
     Duration::from_millis(230),
     Duration::from_millis(1_500),
 ];
+/// Longer than a reservation may last: the limit of 1 s and 300 ms of tolerance.
+const OVERDUE_AFTER: Duration = Duration::from_millis(1_500);
 /// Number of requests that leave idle connections to endpoints behind.
 const IDLE_REQUESTS: usize = 8;
 /// The response to the release of a reservation.
@@ -51,13 +53,7 @@
     router.process.wait_for_log("releasing reservation request_id=v1");
     std::thread::sleep(SILENCE_DURATION);
     // From here on, calls are answered.
-    while router.process.has_not_logged("reservation released request_id=v1") {
-        if let Some(mut connection) = StubListener::accept_soon(&listeners)
-            && connection.read_message_or_end().is_some_and(|received| received.head.starts_with("DELETE"))
-        {
-            connection.send_ignoring_close(RELEASE_RESPONSE);
-        }
-    }
+    answer_releases(&listeners, &mut router.process, "v1");
     router.process.terminate();
 }
 
@@ -82,6 +78,38 @@
     }
 }
 
+/// Accepts connections and answers the calls that release a reservation, until one was accepted.
+fn answer_releases(listeners: &[&StubListener], router: &mut RouterProcess, id: &str) {
+    while router.has_not_logged(&format!("reservation released request_id={id}")) {
+        if let Some(mut connection) = StubListener::accept_soon(listeners)
+            && connection.read_message_or_end().is_some_and(|received| received.head.starts_with("DELETE"))
+        {
+            connection.send_ignoring_close(RELEASE_RESPONSE);
+        }
+    }
+}
+
+// Guards against an overdue KV cache that is not counted because an aborted release restarted its time.
+#[test]
+fn a_release_that_is_aborted_before_a_prefill_does_not_restart_the_time_of_its_reservation() {
+    let StubbedRouter { prefill_stub, decode_stub, mut process, base, .. } = StubbedRouter::start(&[]);
+    let mut client = connect_client(&base);
+    client.send(&request("a1", "climb-query", 6_000));
+    let mut prefill = prefill_stub.accept();
+    answer_prefill(&mut prefill, "a1");
+    let reserved_at = Instant::now();
+    let mut decode = decode_stub.accept();
+    decode.read_message();
+    // From here on, no endpoint answers a release, and further prefills fail to connect.
+    drop(prefill_stub);
+    decode.send("HTTP/1.1 410 Gone\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n");
+    assert!(client.read_until("\r\n").starts_with("HTTP/1.1 429"));
+    std::thread::sleep(OVERDUE_AFTER.saturating_sub(reserved_at.elapsed()));
+    answer_releases(&[&decode_stub], &mut process, "a1");
+    let log = process.terminate();
+    assert!(log.contains("violation: reservation held too long request_id=a1"), "{log}");
+}
+
 // Guards against a release that goes from one silent connection to the next while the KV cache stays
 // reserved.
 #[test]
