Count unanswered sends only where anything can be reserved

Cause: a request of the chat API to an endpoint that is no longer known counts as one with a reservation, so its timeout could add to held_unanswered, though nothing is ever reserved at public endpoints. Change: the check asks whether the fleet has reservations, as the release does. Found by reading the change again.

--- a/src/request/reservation.rs
+++ b/src/request/reservation.rs
@@ -72,7 +72,8 @@
     /// Counts an unanswered attempt that ended after the reservation's limit. If its connection fell silent
     /// before the request arrived, the limit was exceeded.
     fn check_unanswered_attempt(&self, reserved: Duration) {
-        if reserved <= self.upstream.max_reservation() + RESERVATION_LIMIT_TOLERANCE {
+        let limit = self.upstream.max_reservation() + RESERVATION_LIMIT_TOLERANCE;
+        if !self.upstream.has_reservations() || reserved <= limit {
             return;
         }
         self.upstream.counters().reservations_unanswered.increment();
