Close a connection after its response if bytes behind the request were discarded

Seen in a test only: a client that sends its next request while the one before is in progress could lose the start of it and wait for an answer until it gives up.

Cause: since disconnects are looked for behind every request, bytes that arrive between hyper's read and the read that discards them are counted nowhere, so the connection looked delimited and was kept. Found by reading the change again.

Change: the progress of the request returns how many bytes were discarded behind it, and a connection with any is closed after the response, as one with bytes behind its request always was.

Tests: a_connection_is_not_reused_if_bytes_behind_its_request_were_discarded failed before and passes now, with reads in the critical order; a_connection_is_closed_after_the_response_if_bytes_followed_the_request plays the same on sockets.

--- a/src/server/connection_state.rs
+++ b/src/server/connection_state.rs
@@ -239,11 +239,11 @@
         if validity == RequestValidity::Invalid {
             self.rejected_requests.set(self.rejected_requests.get() + 1);
         }
-        self.progress.finish();
+        let discarded = self.progress.finish();
         let mut scanner = self.scanner.borrow_mut();
         let received = BodyLength::Known(scanner.bytes_after_head());
         scanner.next_request();
-        let is_delimited = self.body_length.take() == Some(received);
+        let is_delimited = self.body_length.take() == Some(received) && discarded == 0;
         if is_delimited && self.rejected_requests.get() < MAX_REJECTED_REQUESTS {
             Persistence::KeepAlive
         } else {
--- a/src/server/request_progress.rs
+++ b/src/server/request_progress.rs
@@ -67,9 +67,10 @@
         });
     }
 
-    /// Records that the response has started.
-    pub(super) fn finish(&self) {
-        self.0.send_replace(Progress::NoRequest);
+    /// Records that the response has started. Returns the number of bytes behind the request that were
+    /// discarded.
+    pub(super) fn finish(&self) -> usize {
+        self.0.send_replace(Progress::NoRequest).excess_bytes()
     }
 
     /// Returns whether bytes that arrive now are excess and are to be discarded.
--- a/tests/client_connection.rs
+++ b/tests/client_connection.rs
@@ -1,18 +1,24 @@
 //! The lifecycle of a client connection, tested with paused time.
 
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::io;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Either, Full};
 use hyper::{Request, Response};
 use inference_router::metrics::Counters;
+use inference_router::server::client_stream::ClientIo;
 use inference_router::server::connection::{ConnectionGuard, serve_connection};
 use inference_router::server::connection_limits::ConnectionLimiter;
 use inference_router::server::connection_state::{ClientState, ConnectionStage};
 use inference_router::server::{ClientBody, RequestHandler, ServerResponse};
 use inference_router::shutdown::Shutdown;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, DuplexStream, ReadBuf};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{sleep, timeout};
 
@@ -26,9 +32,16 @@
 /// A request without a body.
 const GET: &str = "GET /x HTTP/1.1\r\nHost: app.svc\r\n\r\n";
 
-/// Answers every request with [`RESPONSE_BODY`].
+/// Answers every request with [`RESPONSE_BODY`], after a delay from the end of its body.
 #[derive(Clone)]
-struct FixedResponse;
+struct FixedResponse {
+    delay: Duration,
+}
+
+impl FixedResponse {
+    /// Answers without a delay.
+    const IMMEDIATE: FixedResponse = FixedResponse { delay: Duration::ZERO };
+}
 
 impl RequestHandler for FixedResponse {
     fn counters(&self) -> Rc<Counters> {
@@ -37,6 +50,9 @@
 
     async fn handle(self, mut request: Request<ClientBody>) -> ServerResponse {
         let _ = request.body_mut().collect().await;
+        if !self.delay.is_zero() {
+            sleep(self.delay).await;
+        }
         Response::new(Either::Left(Full::new(Bytes::from_static(RESPONSE_BODY.as_bytes()))))
     }
 
@@ -51,10 +67,58 @@
     let shutdown = Shutdown::default();
     let guard = ConnectionGuard { slot: limiter.register(), shutdown: shutdown.guard() };
     let state = guard.slot.client.clone();
-    spawn_local(serve_connection(server, FixedResponse, shutdown, guard));
+    spawn_local(serve_connection(server, FixedResponse::IMMEDIATE, shutdown, guard));
     (client, state)
 }
 
+/// The bytes that went through a [`ScriptedIo`].
+#[derive(Default)]
+struct Transcript {
+    written: Vec<u8>,
+    /// Number of reads that gave data before anything was written.
+    reads_before_response: usize,
+}
+
+/// The router's end of a connection, whose reads give scripted results.
+struct ScriptedIo {
+    /// The results of the next reads; `None` if no data is available at that read.
+    reads: VecDeque<Option<&'static str>>,
+    transcript: Rc<RefCell<Transcript>>,
+}
+
+impl AsyncRead for ScriptedIo {
+    fn poll_read(
+        mut self: Pin<&mut Self>, _: &mut Context<'_>, buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let Some(Some(data)) = self.reads.pop_front() else { return Poll::Pending };
+        let mut transcript = self.transcript.borrow_mut();
+        if transcript.written.is_empty() {
+            transcript.reads_before_response += 1;
+        }
+        buffer.put_slice(data.as_bytes());
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for ScriptedIo {
+    fn poll_write(self: Pin<&mut Self>, _: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
+        self.transcript.borrow_mut().written.extend_from_slice(data);
+        Poll::Ready(Ok(data.len()))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl ClientIo for ScriptedIo {
+    async fn client_closed(&mut self) {}
+}
+
 async fn read_response(client: &mut DuplexStream) {
     let mut text = Vec::new();
     while !String::from_utf8_lossy(&text).ends_with(RESPONSE_BODY) {
@@ -156,3 +220,33 @@
         }
     });
 }
+
+// Guards against a connection that is reused although the start of its next request was discarded: hyper's read
+// behind the request finds nothing, and the bytes arrive just before the read that discards them.
+#[test]
+fn a_connection_is_not_reused_if_bytes_behind_its_request_were_discarded() {
+    run(async {
+        let mut runs_with_excess = 0;
+        for empty_reads in 0..6 {
+            let mut reads = VecDeque::from([Some(GET)]);
+            reads.extend(vec![None; empty_reads]);
+            reads.push_back(Some("GET /y"));
+            let transcript = Rc::new(RefCell::new(Transcript::default()));
+            let io = ScriptedIo { reads, transcript: transcript.clone() };
+            let shutdown = Shutdown::default();
+            let guard = ConnectionGuard {
+                slot: ConnectionLimiter::new(1, 1_024).register(),
+                shutdown: shutdown.guard(),
+            };
+            let handler = FixedResponse { delay: Duration::from_millis(1) };
+            // Without a close, the connection waits for the rest of the next request.
+            let _ = timeout(Duration::from_secs(1), serve_connection(io, handler, shutdown, guard)).await;
+            let Transcript { written, reads_before_response } = transcript.take();
+            let response = String::from_utf8_lossy(&written).to_lowercase();
+            let has_excess = reads_before_response > 1;
+            assert_eq!(response.contains("connection: close"), has_excess, "{empty_reads}: {response}");
+            runs_with_excess += u32::from(has_excess);
+        }
+        assert!(runs_with_excess > 1, "bytes arrived before a response in {runs_with_excess} runs only");
+    });
+}
--- a/tests/client_disconnects.rs
+++ b/tests/client_disconnects.rs
@@ -6,10 +6,10 @@
 
 use common::config_files::{endpoint_entry, endpoint_list, loopback_address};
 use common::connection::{Connection, connect_client};
-use common::messages::{PREFILLED, chunked_request, request};
+use common::messages::{PREFILLED, STREAM_END, STREAM_START, chunked_request, request};
 use common::router_process::start_router;
 use common::stub_listener::StubListener;
-use common::stubbed_router::StubbedRouter;
+use common::stubbed_router::{StubbedRouter, answer_prefill};
 
 /// Time after a client's disconnect from which on no attempt may start: the rule's 0.1 s, and 50 ms for
 /// sockets.
@@ -120,6 +120,30 @@
     assert_eq!(router.prefill_stub.count_unaccepted_requests(), 0, "sent after the disconnect: {log}");
 }
 
+// Guards against a connection that is reused although part of its next request was discarded.
+#[test]
+fn a_connection_is_closed_after_the_response_if_bytes_followed_the_request() {
+    for delay in [Duration::ZERO, Duration::from_millis(20)] {
+        let router = StubbedRouter::start(&[]);
+        let mut client = router.client();
+        client.send(&request("b1", "climb-query", 6_000));
+        let prefill = answer_prefill(&router.prefill_stub, "b1");
+        std::thread::sleep(delay);
+        client.send(&request("b2", "climb-query", 6_000));
+        let mut stream = router.decode_stub.accept();
+        stream.read_message();
+        std::thread::sleep(delay);
+        stream.send(STREAM_START);
+        stream.send(STREAM_END);
+        let response = client.read_until("0\r\n\r\n");
+        assert!(response.to_lowercase().contains("connection: close\r\n"), "{response}");
+        assert_eq!(client.read_to_end(), "");
+        drop(prefill);
+        router.process.terminate();
+        assert_eq!(router.prefill_stub.count_unaccepted_requests(), 0);
+    }
+}
+
 // Guards against unbounded work for a client that keeps sending behind its request.
 #[test]
 fn a_client_that_keeps_sending_behind_its_request_gets_an_error_at_once() {
