Call each endpoint over an idle connection too when a release is repeated

Cause: after its first call a release used new connections only.

Change: after the first call each endpoint is called over a new connection and, if it has one, over an idle one at the same time. Each call is logged at debug level.

--- a/src/upstream/connection_pool.rs
+++ b/src/upstream/connection_pool.rs
@@ -107,6 +107,11 @@
         by_endpoint.get(&endpoint).map(|pooled| pooled.address.clone())
     }
 
+    /// Returns whether there is an idle connection to the endpoint.
+    pub fn has_idle(&self, endpoint: EndpointId) -> bool {
+        self.by_endpoint.borrow().get(&endpoint).is_some_and(|pooled| !pooled.idle.is_empty())
+    }
+
     /// Returns all known endpoints, ordered by ID.
     pub fn endpoints(&self) -> Vec<EndpointId> {
         self.by_endpoint.borrow().keys().copied().collect()
--- a/src/upstream/release.rs
+++ b/src/upstream/release.rs
@@ -33,9 +33,8 @@
 struct ReleaseCalls {
     upstream: Rc<Upstream>,
     request_id: Rc<str>,
-    /// The connection for the next call. Only the first call may use an idle one: if that has fallen silent,
-    /// others probably have as well.
-    connection: CallConnection,
+    /// Whether a call was made.
+    started: bool,
     in_flight: JoinSet<CallResult>,
     /// The endpoints that have not been called in this round.
     remaining: VecDeque<EndpointId>,
@@ -46,7 +45,7 @@
         ReleaseCalls {
             upstream,
             request_id,
-            connection: CallConnection::Pooled,
+            started: false,
             in_flight: JoinSet::new(),
             remaining: VecDeque::new(),
         }
@@ -54,14 +53,27 @@
 
     /// Calls the next endpoint, in order of likelihood to respond. A new round starts after the last
     /// endpoint.
+    ///
+    /// After the first call, idle connections may have fallen silent, or new ones may not come up. Each endpoint
+    /// is therefore called over a new connection and, if it has one, over an idle connection as well.
     fn call_next(&mut self) {
         if self.remaining.is_empty() {
             self.remaining = self.upstream.pool().endpoints_by_reachability().into();
         }
         let Some(endpoint) = self.remaining.pop_front() else { return };
-        let call = call_endpoint(self.upstream.clone(), endpoint, self.request_id.clone(), self.connection);
+        if self.started {
+            self.call(endpoint, CallConnection::New);
+        }
+        if !self.started || self.upstream.pool().has_idle(endpoint) {
+            self.call(endpoint, CallConnection::Pooled);
+        }
+        self.started = true;
+    }
+
+    fn call(&mut self, endpoint: EndpointId, connection: CallConnection) {
+        tracing::debug!(request_id = %self.request_id, endpoint = endpoint.0, ?connection, "release call");
+        let call = call_endpoint(self.upstream.clone(), endpoint, self.request_id.clone(), connection);
         self.in_flight.spawn_local(call);
-        self.connection = CallConnection::New;
     }
 
     /// Waits until `deadline` for the next call to end. Returns `None` if none does.
