--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -263,6 +263,8 @@
     pub hangs: AtomicBool,
     /// After its second event, a stream goes on in one chunk that is said to have 3 GB.
     pub spoilt: AtomicBool,
+    /// The text of the event in the middle of a stream has the character U+007F.
+    pub writes_delete: AtomicBool,
 }
 
 impl Default for Conduct {
@@ -274,6 +276,7 @@
             pause_ms: AtomicU64::new(0),
             hangs: AtomicBool::new(false),
             spoilt: AtomicBool::new(false),
+            writes_delete: AtomicBool::new(false),
         }
     }
 }
@@ -408,7 +411,8 @@
                     }
                 }
             }
-            let content = format!("{request}-{number} ");
+            let has_delete = number == events / 2 && self.conduct.writes_delete.load(Ordering::Relaxed);
+            let content = format!("{request}-{number}{} ", if has_delete { "\u{7f}" } else { "" });
             wire.send_chunk(&format!(
                 "data: {{\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"{content}\"}},\"finish_reason\":null}}]}}\n\n"
             ))?;
