End a response that announces more bytes than any response has

Callers saw: after a spoilt chunk of 3 GB in which events keep coming, a client's connection never ended; it has to within 5 s.

Cause: no size of a response was compared with anything. hyper accepts chunks of up to 2^64 - 1 bytes and does not report their size, and the only clock of a running stream starts anew with each event, whatever the event is part of. The same held for a long Content-Length, for streams without a length, and for the body of a prefill's 202, which was waited for until the attempt's timeout.

Change: ResponseScanner follows the framing of each response beside hyper and limits the size of its body. TrackedStream passes on what precedes the excess and then fails, so every body is covered in one place. The excess is found when it is announced, as its bytes may take arbitrarily long to arrive. A prefill whose response is malformed counts as such, not as a lost connection.

--- a/src/request/stream.rs
+++ b/src/request/stream.rs
@@ -83,10 +83,7 @@
             }
             ForwardResult::Broken(error) => {
                 self.context.counters.interrupted.increment();
-                match error {
-                    StreamError::Malformed => Outcome::Malformed,
-                    StreamError::Interrupted => Outcome::ConnectionLost,
-                }
+                (*error).into()
             }
             ForwardResult::ReportedError => {
                 self.context.counters.failed.increment();
--- a/src/server/chat_api/mod.rs
+++ b/src/server/chat_api/mod.rs
@@ -28,6 +28,7 @@
 use crate::scheduler::Micros;
 use crate::shutdown::Shutdown;
 use crate::upstream::exchange::{IDEMPOTENCY_KEY, RequestPayload};
+use crate::upstream::response_limit::{MAX_ANSWER_SIZE, MAX_UNARY_ANSWER_SIZE};
 use completion::Completion;
 use error::ChatError;
 use request_ids::RequestIds;
@@ -148,8 +149,9 @@
             return Err(self.shed());
         }
         let id = self.request_ids.next();
-        let payload = payload(&request, id.clone(), body.bytes)?;
         let is_unary = spec.unary;
+        let max_response_size = if is_unary { MAX_UNARY_ANSWER_SIZE } else { MAX_ANSWER_SIZE };
+        let payload = payload(&request, id.clone(), body.bytes, max_response_size)?;
         let admitted = AdmittedRequest { spec, payload, allocation: body.allocation, guard: () };
         // The channel closes without a value if the request task ended without a response.
         let routed = self.context.start_request(admitted).await.unwrap_or(RoutedResponse::Failed);
@@ -168,12 +170,14 @@
 }
 
 /// Builds the payload sent to endpoints.
-fn payload(request: &Request<ClientBody>, id: Rc<str>, body: Bytes) -> Result<RequestPayload, ChatError> {
+fn payload(
+    request: &Request<ClientBody>, id: Rc<str>, body: Bytes, max_response_size: u64,
+) -> Result<RequestPayload, ChatError> {
     let target = request.uri().path_and_query().cloned();
     let target = target.ok_or_else(|| ChatError::UnknownPath(String::new()))?;
     let content_type = Some(HeaderValue::from_static("application/json"));
     let idempotency_key = request.headers().get(IDEMPOTENCY_KEY).cloned();
-    Ok(RequestPayload { id, target, content_type, idempotency_key, body })
+    Ok(RequestPayload { id, target, content_type, idempotency_key, body, max_response_size })
 }
 
 /// Builds the response to a routed request.
--- a/src/server/platform_api/mod.rs
+++ b/src/server/platform_api/mod.rs
@@ -24,6 +24,7 @@
 use crate::scheduler::Micros;
 use crate::shutdown::Shutdown;
 use crate::upstream::exchange::{IDEMPOTENCY_KEY, RequestPayload};
+use crate::upstream::response_limit::MAX_ANSWER_SIZE;
 use headers::RequestHead;
 use invalid_request::InvalidRequest;
 use open_requests::OpenRequests;
@@ -150,7 +151,7 @@
     let target = request.uri().path_and_query().cloned().ok_or(InvalidRequest::UnknownPath)?;
     let content_type = request.headers().get(CONTENT_TYPE).cloned();
     let idempotency_key = request.headers().get(IDEMPOTENCY_KEY).cloned();
-    Ok(RequestPayload { id, target, content_type, idempotency_key, body })
+    Ok(RequestPayload { id, target, content_type, idempotency_key, body, max_response_size: MAX_ANSWER_SIZE })
 }
 
 fn text_response(status: StatusCode, text: impl Into<Bytes>) -> ServerResponse {
--- a/src/upstream/attempt.rs
+++ b/src/upstream/attempt.rs
@@ -153,7 +153,7 @@
     async fn send_on(
         &mut self, mut connection: Connection, in_flight: AttemptInFlight,
     ) -> Result<Exchange, SendFailure> {
-        let body = connection.body(self.payload.body.clone());
+        let body = connection.start_exchange(self.payload.body.clone(), self.payload.max_response_size);
         let progress = body.progress();
         self.write_progress = Some(progress.clone());
         let request = self.request(body);
@@ -216,8 +216,9 @@
     async fn read_accepted(
         &self, connection: Connection, body: Incoming, load_report: Option<LoadReport>,
     ) -> FirstResponse {
-        let Some(text) = read_body(body).await else {
-            return FirstResponse::finished(Outcome::ConnectionLost);
+        let text = match read_body(body).await {
+            Ok(text) => text,
+            Err(error) => return FirstResponse::finished(error.into()),
         };
         self.upstream.pool().put_back(self.endpoint, connection);
         let response = match self.upstream.protocol() {
@@ -230,7 +231,7 @@
     /// Reads and discards a body so that its connection can be reused.
     async fn discard_body(&self, connection: Connection, body: Incoming) {
         let read = timeout(FAILURE_BODY_TIMEOUT, read_body(body)).await;
-        if matches!(read, Ok(Some(_))) {
+        if matches!(read, Ok(Ok(_))) {
             self.upstream.pool().put_back(self.endpoint, connection);
         }
     }
--- a/src/upstream/connect.rs
+++ b/src/upstream/connect.rs
@@ -1,8 +1,9 @@
 //! A connection to an endpoint, and how it is opened.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,7 +14,9 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep};
 
-use crate::upstream::write_progress::{TrackedBody, TrackedStream, WriteProgress};
+use crate::upstream::response_scanner::ResponseScanner;
+use crate::upstream::tracked_stream::TrackedStream;
+use crate::upstream::write_progress::{TrackedBody, WriteProgress};
 
 /// Maximum size of a connection's read buffer, in bytes; events are far smaller. Together with the chunks
 /// buffered for a slow client, it bounds the memory of a stream.
@@ -73,6 +76,7 @@
 pub struct Connection {
     sender: SendRequest<TrackedBody>,
     progress: WriteProgress,
+    scanner: Rc<RefCell<ResponseScanner>>,
     driver: AbortHandle,
     reused: bool,
     /// When the last response was received or, before the first one, when the connection was opened.
@@ -97,7 +101,8 @@
     ) -> Result<Self, ConnectError> {
         let _ = socket.set_nodelay(true);
         let progress = WriteProgress::default();
-        let stream = TokioIo::new(TrackedStream::new(socket, progress.clone()));
+        let scanner = Rc::new(RefCell::new(ResponseScanner::default()));
+        let stream = TokioIo::new(TrackedStream::new(socket, progress.clone(), scanner.clone()));
         let handshake = http1::Builder::new().max_buf_size(MAX_READ_BUFFER).handshake(stream).await;
         let (sender, connection) = handshake.map_err(|_| ConnectError::Endpoint)?;
         let driver = tokio::task::spawn_local(async move {
@@ -108,15 +113,18 @@
         Ok(Connection {
             sender,
             progress,
+            scanner,
             driver: driver.abort_handle(),
             reused: false,
             last_used_at: Instant::now(),
         })
     }
 
-    /// Creates the body of the next request on this connection.
-    pub fn body(&self, data: Bytes) -> TrackedBody {
-        TrackedBody::new(data, self.progress.clone())
+    /// Starts the next exchange on this connection, whose response may have a body of up to
+    /// `max_response_size` bytes. Returns the body of the request.
+    pub fn start_exchange(&self, request_body: Bytes, max_response_size: u64) -> TrackedBody {
+        self.scanner.borrow_mut().start_response(max_response_size);
+        TrackedBody::new(request_body, self.progress.clone())
     }
 
     /// Returns the request sender.
--- a/src/upstream/control_call.rs
+++ b/src/upstream/control_call.rs
@@ -11,6 +11,7 @@
 use crate::upstream::load_report;
 use crate::upstream::request_head;
 use crate::upstream::response::read_body;
+use crate::upstream::response_limit::MAX_CONTROL_BODY_SIZE;
 
 /// Maximum time for an endpoint to respond to a health check.
 const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_millis(250);
@@ -71,12 +72,12 @@
             CallConnection::New => self.pool().new_connection(endpoint).await,
         };
         let mut connection = connection.ok()?;
-        let no_body = connection.body(Bytes::new());
+        let no_body = connection.start_exchange(Bytes::new(), MAX_CONTROL_BODY_SIZE as u64);
         let mut request = Request::builder().method(method).uri(path).body(no_body).ok()?;
         request_head::insert_host(request.headers_mut(), self.pool().address(endpoint).as_ref());
         let response = connection.sender().try_send_request(request).await.ok()?;
         let (head, body) = response.into_parts();
-        let text = read_body(body).await?;
+        let text = read_body(body).await.ok()?;
         self.pool().put_back(endpoint, connection);
         Some(Response::from_parts(head, text))
     }
--- a/src/upstream/event_stream.rs
+++ b/src/upstream/event_stream.rs
@@ -67,6 +67,25 @@
     Malformed,
 }
 
+impl StreamError {
+    /// Classifies the error with which reading a body failed: malformed HTTP, or a lost connection.
+    pub(super) fn classify(error: &hyper::Error) -> Self {
+        let io_kind =
+            error.source().and_then(|source| source.downcast_ref::<io::Error>()).map(io::Error::kind);
+        let is_invalid = matches!(io_kind, Some(io::ErrorKind::InvalidInput | io::ErrorKind::InvalidData));
+        if error.is_parse() || is_invalid { StreamError::Malformed } else { StreamError::Interrupted }
+    }
+}
+
+impl From<StreamError> for Outcome {
+    fn from(error: StreamError) -> Self {
+        match error {
+            StreamError::Interrupted => Outcome::ConnectionLost,
+            StreamError::Malformed => Outcome::Malformed,
+        }
+    }
+}
+
 /// A chunk of a stream, or the error that ended the stream.
 pub type StreamChunk = Result<Bytes, StreamError>;
 
@@ -117,8 +136,8 @@
                 self.first_events = Some(events);
                 Ok(())
             }
-            Some(Err(StreamError::Malformed)) => Err(Outcome::Malformed),
-            Some(Err(StreamError::Interrupted)) | None => Err(Outcome::ConnectionLost),
+            Some(Err(error)) => Err(error.into()),
+            None => Err(Outcome::ConnectionLost),
         }
     }
 
@@ -150,7 +169,9 @@
         loop {
             let frame = match timeout_at(deadline, self.body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(error))) => return self.fail_unless_error_reported(classify_body_error(&error)),
+                Ok(Some(Err(error))) => {
+                    return self.fail_unless_error_reported(StreamError::classify(&error));
+                }
                 Ok(None) => return self.handle_end_of_body(),
                 Err(_elapsed) => return self.handle_silence(),
             };
@@ -207,10 +228,3 @@
         Some(Err(error))
     }
 }
-
-/// Classifies a body error as malformed HTTP or as a lost connection.
-fn classify_body_error(error: &hyper::Error) -> StreamError {
-    let io_kind = error.source().and_then(|source| source.downcast_ref::<io::Error>()).map(io::Error::kind);
-    let is_invalid = matches!(io_kind, Some(io::ErrorKind::InvalidInput | io::ErrorKind::InvalidData));
-    if error.is_parse() || is_invalid { StreamError::Malformed } else { StreamError::Interrupted }
-}
--- a/src/upstream/exchange.rs
+++ b/src/upstream/exchange.rs
@@ -37,6 +37,8 @@
     pub idempotency_key: Option<HeaderValue>,
     /// The body.
     pub body: Bytes,
+    /// Maximum size of the response's body, in bytes.
+    pub max_response_size: u64,
 }
 
 /// The result of an attempt before any event has been forwarded.
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -6,6 +6,8 @@
 pub mod event_stream;
 pub mod exchange;
 pub mod release;
+pub mod response_limit;
+pub mod response_scanner;
 pub mod send_gate;
 pub mod write_progress;
 
@@ -15,3 +17,4 @@
 mod load_report;
 mod request_head;
 mod response;
+mod tracked_stream;
--- a/src/upstream/response.rs
+++ b/src/upstream/response.rs
@@ -5,16 +5,14 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::StatusCode;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::HeaderMap;
 use serde::Deserialize;
 
 use crate::scheduler::Outcome;
+use crate::upstream::event_stream::StreamError;
 use crate::upstream::exchange::UpstreamProtocol;
-
-/// Maximum size of a response body that is not streamed, in bytes. Far above the size of any body that
-/// endpoints send, and a small amount of memory.
-const MAX_BODY_SIZE: usize = 256 * 1024;
+use crate::upstream::response_limit::MAX_CONTROL_BODY_SIZE;
 
 /// Maximum wait for the body of a rejection or an error. It usually arrives with the head, and its content is
 /// not used: it is read only so that the connection can be reused.
@@ -84,10 +82,20 @@
     }
 }
 
-/// Reads a complete body. Returns `None` if it is too large or incomplete.
-pub(super) async fn read_body(body: Incoming) -> Option<Bytes> {
-    let collected = Limited::new(body, MAX_BODY_SIZE).collect().await;
-    Some(collected.ok()?.to_bytes())
+/// Reads a complete body.
+///
+/// # Errors
+///
+/// Returns an error if the body is malformed, too large or incomplete.
+pub(super) async fn read_body(body: Incoming) -> Result<Bytes, StreamError> {
+    if body.size_hint().lower() > MAX_CONTROL_BODY_SIZE as u64 {
+        return Err(StreamError::Malformed);
+    }
+    match Limited::new(body, MAX_CONTROL_BODY_SIZE).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        // Any other error is that of `Limited`.
+        Err(error) => Err(error.downcast_ref().map_or(StreamError::Malformed, StreamError::classify)),
+    }
 }
 
 /// Parses how many of the prompt's tokens were found in a prefill endpoint's cache. Returns 0 if the endpoint
--- a/src/upstream/write_progress.rs
+++ b/src/upstream/write_progress.rs
@@ -3,15 +3,12 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
 /// How far the last byte of a request has been written.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -48,7 +45,7 @@
 
     /// Records a flush of the socket. hyper flushes the socket only when its own buffer is empty, so a flush
     /// after the body was passed to it means that the last byte has been written.
-    fn mark_flushed(&self) {
+    pub(super) fn mark_flushed(&self) {
         if self.0.get() == WriteState::Buffered {
             self.0.set(WriteState::Flushed);
         }
@@ -94,52 +91,3 @@
         SizeHint::with_exact(self.data.as_ref().map_or(0, |data| data.len() as u64))
     }
 }
-
-/// A socket that records when a body passed to hyper has been flushed.
-pub(super) struct TrackedStream {
-    socket: TcpStream,
-    progress: WriteProgress,
-}
-
-impl TrackedStream {
-    /// Creates a stream that records the flushes of `socket` in `progress`.
-    pub(super) fn new(socket: TcpStream, progress: WriteProgress) -> Self {
-        TrackedStream { socket, progress }
-    }
-}
-
-impl AsyncRead for TrackedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_read(cx, buf)
-    }
-}
-
-impl AsyncWrite for TrackedStream {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write(cx, data)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write_vectored(cx, data)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.socket.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let flushed = Pin::new(&mut self.socket).poll_flush(cx);
-        if matches!(flushed, Poll::Ready(Ok(()))) {
-            self.progress.mark_flushed();
-        }
-        flushed
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_shutdown(cx)
-    }
-}
--- a/tests/common/connection.rs
+++ b/tests/common/connection.rs
@@ -38,6 +38,25 @@
     }
 }
 
+/// How a chunked body ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BodyEnd {
+    /// With the last chunk.
+    LastChunk,
+    /// The connection was closed or reset before the last chunk.
+    ConnectionClosed,
+    /// Not at all by the deadline.
+    StillOpen,
+}
+
+/// A chunked body that was read from a connection.
+#[derive(Debug)]
+pub(crate) struct ChunkedBody {
+    /// The data of all complete chunks.
+    pub(crate) data: String,
+    pub(crate) end: BodyEnd,
+}
+
 /// Connects to the platform API of the router at this address.
 pub(crate) fn connect_client(base: &str) -> Connection {
     Connection::open(&format!("{base}:8081"))
@@ -65,6 +84,13 @@
         let _ = self.socket.write_all(text.as_bytes());
     }
 
+    /// Writes copies of `text`, with a pause after each, until the peer closes the connection.
+    pub(crate) fn send_until_closed(&mut self, text: &str, interval: Duration) {
+        while self.socket.write_all(text.as_bytes()).is_ok() {
+            std::thread::sleep(interval);
+        }
+    }
+
     /// Reads more bytes. Returns false at the end of the connection or after a reset.
     fn read_more(&mut self) -> bool {
         let mut buffer = [0; 16_384];
@@ -129,6 +155,40 @@
         Some(self.read_message())
     }
 
+    /// Reads a chunked body. Stops at `deadline` if bytes still arrive then.
+    pub(crate) fn read_chunked_body(&mut self, deadline: Instant) -> ChunkedBody {
+        let mut data = String::new();
+        loop {
+            while let Some(chunk) = self.take_chunk() {
+                if chunk.is_empty() {
+                    return ChunkedBody { data, end: BodyEnd::LastChunk };
+                }
+                data.push_str(&chunk);
+            }
+            if Instant::now() >= deadline {
+                return ChunkedBody { data, end: BodyEnd::StillOpen };
+            }
+            if !self.read_more() {
+                return ChunkedBody { data, end: BodyEnd::ConnectionClosed };
+            }
+        }
+    }
+
+    /// Takes the data of the next chunk from the unread bytes. Returns `None` if the chunk is incomplete.
+    fn take_chunk(&mut self) -> Option<String> {
+        let size_end = self.unread.windows(2).position(|window| window == b"\r\n")?;
+        let size_line = std::str::from_utf8(&self.unread[..size_end]).expect("chunk size is not UTF-8");
+        let size = usize::from_str_radix(size_line, 16).expect("chunk size is not hexadecimal");
+        let data_start = size_end + 2;
+        let data_end = data_start + size;
+        if self.unread.len() < data_end + 2 {
+            return None;
+        }
+        let data = self.unread[data_start..data_end].to_vec();
+        self.unread.drain(..data_end + 2);
+        Some(String::from_utf8(data).expect("chunk is not UTF-8"))
+    }
+
     /// Reads until the peer closes the connection. Panics if it is reset.
     pub(crate) fn read_to_end(&mut self) -> String {
         let mut buffer = [0; 16_384];
--- a/tests/connection_wait.rs
+++ b/tests/connection_wait.rs
@@ -59,6 +59,7 @@
         content_type: None,
         idempotency_key: None,
         body: Bytes::from_static(b"{}"),
+        max_response_size: 1_000,
     }
 }
 
