End a stream whose chunk has less data than its size says

Callers saw: a stream with a chunk of, say, 64 KB in which events keep coming was forwarded until the chunk was full, 20 s and more at usual speed. A client's connection has to end within 5 s after such a chunk began.

Each event restarts the only clock of a running stream, and a size that does not fit is noticed only behind the data that it announces.

Evidence: of 18 forms of chunks whose size cannot be read or does not fit, 6 were still open after 5.05 s on: sizes from 64 KB to 16 MB with events, comments, empty lines or whole chunks in them. The other 12 ended.

An endpoint writes the size of data that it has, so sound chunks arrive at the network's speed. Time in which a slow client keeps the stream from being read does not count, which an existing test with a pause of 5.5 s asserts.

--- a/src/upstream/connect.rs
+++ b/src/upstream/connect.rs
@@ -127,6 +127,12 @@
         TrackedBody::new(request_body, self.progress.clone())
     }
 
+    /// Returns the index within its response of the chunk whose data is being received. Returns `None` between
+    /// chunks.
+    pub(super) fn incomplete_chunk(&self) -> Option<u64> {
+        self.scanner.borrow().incomplete_chunk()
+    }
+
     /// Returns the request sender.
     pub fn sender(&mut self) -> &mut SendRequest<TrackedBody> {
         &mut self.sender
--- a/src/upstream/event_stream.rs
+++ b/src/upstream/event_stream.rs
@@ -8,11 +8,12 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::StatusCode;
-use hyper::body::Incoming;
+use hyper::body::{Frame, Incoming};
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use tokio::time::{Instant, timeout_at};
 
 use crate::scheduler::{EndpointId, Outcome};
+use crate::upstream::chunk_timer::ChunkTimer;
 use crate::upstream::connect::Connection;
 use crate::upstream::connection_pool::ConnectionPool;
 use crate::upstream::event_framer::{EventFormat, EventFramer, MalformedEvents};
@@ -89,6 +90,14 @@
 /// A chunk of a stream, or the error that ended the stream.
 pub type StreamChunk = Result<Bytes, StreamError>;
 
+/// Why the wait for a frame of a stream ended without one.
+enum WaitExpired {
+    /// No event arrived for too long.
+    Silence,
+    /// Bytes still arrive, but the current chunk should have been complete.
+    IncompleteChunk,
+}
+
 /// A streaming response from an endpoint. Dropping it closes the connection.
 pub struct EventStream {
     pool: Rc<ConnectionPool>,
@@ -101,6 +110,7 @@
     first_events: Option<Bytes>,
     /// `None` if the response is not an event stream. Its bytes are then forwarded as they arrive.
     framer: Option<EventFramer>,
+    chunk_timer: ChunkTimer,
     ended: bool,
 }
 
@@ -116,6 +126,7 @@
             head,
             first_events: None,
             framer,
+            chunk_timer: ChunkTimer::default(),
             ended: false,
         }
     }
@@ -165,15 +176,18 @@
         }
         // Silence is measured from here, because the endpoint's connection is not read while the client is
         // slow.
-        let deadline = Instant::now() + MAX_SILENCE;
+        let silence_deadline = Instant::now() + MAX_SILENCE;
         loop {
-            let frame = match timeout_at(deadline, self.body.frame()).await {
+            let frame = match self.next_frame(silence_deadline).await {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(error))) => {
                     return self.fail_unless_error_reported(StreamError::classify(&error));
                 }
                 Ok(None) => return self.handle_end_of_body(),
-                Err(_elapsed) => return self.handle_silence(),
+                Err(WaitExpired::Silence) => return self.handle_silence(),
+                Err(WaitExpired::IncompleteChunk) => {
+                    return self.fail_unless_error_reported(StreamError::Malformed);
+                }
             };
             // Trailers are not forwarded.
             let Ok(data) = frame.into_data() else { continue };
@@ -185,6 +199,22 @@
         }
     }
 
+    /// Waits for the next frame of the body until `silence_deadline`, or until the current chunk has taken too
+    /// long.
+    async fn next_frame(
+        &mut self, silence_deadline: Instant,
+    ) -> Result<Option<Result<Frame<Bytes>, hyper::Error>>, WaitExpired> {
+        let wait_started = Instant::now();
+        let chunk = self.connection.as_ref().and_then(Connection::incomplete_chunk);
+        let chunk_deadline = self.chunk_timer.deadline(chunk, wait_started);
+        let deadline = chunk_deadline.map_or(silence_deadline, |deadline| deadline.min(silence_deadline));
+        let received = timeout_at(deadline, self.body.frame()).await;
+        self.chunk_timer.record_wait(wait_started.elapsed());
+        received.map_err(|_elapsed| {
+            if deadline == silence_deadline { WaitExpired::Silence } else { WaitExpired::IncompleteChunk }
+        })
+    }
+
     fn complete_events(&mut self, data: Bytes) -> Result<Bytes, MalformedEvents> {
         match &mut self.framer {
             Some(framer) if !data.is_empty() => framer.push(data),
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -12,6 +12,7 @@
 pub mod write_progress;
 
 mod attempt;
+mod chunk_timer;
 mod event_framer;
 mod idle_connections;
 mod load_report;
--- a/src/upstream/response_scanner.rs
+++ b/src/upstream/response_scanner.rs
@@ -50,6 +50,8 @@
     position: Position,
     /// The bytes of the current head.
     head: Vec<u8>,
+    /// Number of chunks of the current response whose size has been received, without the last chunk.
+    chunks: u64,
     /// Number of bytes by which the body of the current response may still grow.
     remaining: u64,
 }
@@ -57,14 +59,15 @@
 impl Default for ResponseScanner {
     /// Creates a scanner for a connection on which nothing has been requested.
     fn default() -> Self {
-        ResponseScanner { position: Position::Unchecked, head: Vec::new(), remaining: 0 }
+        ResponseScanner { position: Position::Unchecked, head: Vec::new(), chunks: 0, remaining: 0 }
     }
 }
 
 impl ResponseScanner {
     /// Starts to scan the response to the next request, whose body may have up to `max_size` bytes.
     pub fn start_response(&mut self, max_size: u64) {
-        *self = ResponseScanner { position: Position::Head, head: Vec::new(), remaining: max_size };
+        *self =
+            ResponseScanner { position: Position::Head, head: Vec::new(), chunks: 0, remaining: max_size };
     }
 
     /// Returns whether the current response has been found to be too large.
@@ -72,6 +75,15 @@
         self.position == Position::TooLarge
     }
 
+    /// Returns the index within its response, from 0, of the chunk whose data is being received. Returns `None`
+    /// between chunks.
+    pub fn incomplete_chunk(&self) -> Option<u64> {
+        match self.position {
+            Position::ChunkData(_) | Position::ChunkEnd => Some(self.chunks - 1),
+            _ => None,
+        }
+    }
+
     /// Scans received bytes.
     ///
     /// # Errors
@@ -145,9 +157,15 @@
 
     /// Scans a byte between the size of a chunk and its data.
     fn scan_chunk_extension(&mut self, size: u64, byte: u8) -> usize {
-        if byte == b'\n' {
+        if byte != b'\n' {
+            return 1;
+        }
+        if size == 0 {
+            self.position = Position::Unchecked;
+        } else {
+            self.position = Position::ChunkData(size);
+            self.chunks += 1;
             self.remaining -= size;
-            self.position = if size == 0 { Position::Unchecked } else { Position::ChunkData(size) };
         }
         1
     }
--- a/tests/malformed_responses.rs
+++ b/tests/malformed_responses.rs
@@ -79,9 +79,11 @@
 
 fn assert_interrupted(rests: &[MalformedRest], bodies: &[ChunkedBody]) {
     for (rest, body) in rests.iter().zip(bodies) {
-        assert_eq!(body.end, BodyEnd::ConnectionClosed, "{rest:?}: {} bytes received", body.data.len());
         assert!(body.data.starts_with(EVENT), "{rest:?}: {body:?}");
     }
+    let ends = rests.iter().zip(bodies).map(|(rest, body)| (rest, body.end));
+    let others: Vec<_> = ends.filter(|(_, end)| *end != BodyEnd::ConnectionClosed).collect();
+    assert!(others.is_empty(), "not interrupted: {others:#?}");
 }
 
 // Guards against a malformed stream that is forwarded without end: a chunk with more bytes than any response
@@ -112,6 +114,40 @@
     assert_interrupted(&rests, &play(STREAM_START, &rests, END_WITHIN));
 }
 
+// Guards against a malformed stream that is forwarded until a chunk of any size is full, which may take longer
+// than clients are to wait.
+#[test]
+fn a_stream_ends_at_a_chunk_whose_size_cannot_be_read_or_does_not_fit() {
+    let rests = [
+        // Larger than what the endpoint has: the chunk is never complete.
+        MalformedRest::size("ffff\r\n"),
+        MalformedRest::size("10000;name=value\r\n"),
+        MalformedRest::size("1000000\r\n"),
+        MalformedRest { start: "ffff\r\n", content: ": keep-alive\n\n", interval: EVENT_INTERVAL },
+        MalformedRest { start: "ffff\r\n", content: "\n\n", interval: EVENT_INTERVAL },
+        MalformedRest { start: "ffff\r\n", content: "text\n", interval: EVENT_INTERVAL },
+        MalformedRest {
+            start: "ffff\r\n",
+            content: "f\r\ndata: {\"n\":1}\n\n\r\n",
+            interval: EVENT_INTERVAL,
+        },
+        MalformedRest { start: "ffff\r\ndata: {}\n\n", content: "0\r\n\r\n", interval: END_WITHIN },
+        // Smaller than what the endpoint has.
+        MalformedRest::size("1\r\n"),
+        MalformedRest::size("fe\r\n"),
+        // No size.
+        MalformedRest::size("zz\r\n"),
+        MalformedRest::size("-f\r\n"),
+        MalformedRest::size("0xf\r\n"),
+        MalformedRest::size("\r\n"),
+        MalformedRest::size(""),
+        MalformedRest { start: "", content: "0", interval: EVENT_INTERVAL },
+        MalformedRest { start: "f;", content: "a", interval: EVENT_INTERVAL },
+        MalformedRest { start: "0\r\n", content: "A: b\r\n", interval: EVENT_INTERVAL },
+    ];
+    assert_interrupted(&rests, &play(STREAM_START, &rests, END_WITHIN));
+}
+
 // Guards against the same in other framing: a stream that is larger than any answer of its request.
 #[test]
 fn a_stream_ends_when_it_is_larger_than_any_answer_in_every_framing() {
