Serve sound streams however long their chunk extensions are

Callers saw: a sound stream whose chunks carry extensions was cut off once these had 16 KiB in total, for example after 28 of 89 KB with chunks of 17 bytes and `;name=value`.

Cause: hyper counts the extensions of a whole body, not of a chunk, and rejects the body at 16 KiB. Found on the paths related to spoilt chunks, where sound streams have to be served whole in any framing.

Evidence: the case "many extensions" of sound_streams_are_forwarded_whole_in_any_framing fails without this change: (ConnectionClosed, 27834) in place of (LastChunk, 88904).

Change: ResponseScanner removes extensions from the bytes that hyper reads. An extension has no meaning for a client, as framing is free. A single one of over 16 KiB still ends the response, as does one that contains a line feed, and bytes that make a size unreadable are passed on for hyper to reject; the tests of both have forms with extensions.

--- a/src/upstream/response_scanner.rs
+++ b/src/upstream/response_scanner.rs
@@ -1,8 +1,9 @@
-//! Follows the framing of a connection's responses and limits their size.
+//! Follows the framing of a connection's responses, limits their size and removes chunk extensions.
 //!
-//! hyper accepts chunks and lengths of any size and does not report the size of a chunk. The scanner therefore
-//! inspects the same bytes in parallel. It finds a response that is too large when its size is announced, as
-//! the bytes may take arbitrarily long to arrive.
+//! hyper accepts chunks and lengths of any size, does not report the size of a chunk, and rejects a response
+//! whose chunk extensions have more than 16 KiB in total. The scanner therefore inspects the bytes first. It
+//! finds a response that is too large when its size is announced, as the bytes may take arbitrarily long to
+//! arrive.
 
 use httparse::{EMPTY_HEADER, Response, Status};
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -14,22 +15,27 @@
 /// Chunk sizes are hexadecimal.
 const CHUNK_SIZE_RADIX: u32 = 16;
 
+/// Maximum size of the extension of one chunk, in bytes.
+const MAX_EXTENSION_SIZE: usize = 16 * 1024;
+
 /// A response is larger than its limit, or announces to be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("the response exceeds its maximum size")]
 pub struct ResponseTooLarge {
-    /// Number of the scanned bytes that precede the excess.
+    /// Number of bytes left of those that precede the excess.
     pub valid_bytes: usize,
 }
 
 /// Position in the byte stream of a connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Position {
     /// Within a response head.
     Head,
     /// Within the digits of a chunk's size, which form this number so far.
     ChunkSize(u64),
     /// Behind the digits of a chunk's size, within the same line.
+    ChunkSizeEnd(u64),
+    /// Within a chunk extension, in the line with this size.
     ChunkExtension(u64),
     /// Within the data of a chunk, of which this number of bytes is left.
     ChunkData(u64),
@@ -37,37 +43,41 @@
     ChunkEnd,
     /// Within a body that ends with the connection.
     UnknownLength,
-    /// Where nothing has to be checked: in a body of known length, in trailers, behind a response, or behind
+    /// Where nothing has to be checked: before the first request, in a body of known length, in trailers, behind a response, or behind
     /// bytes that hyper rejects.
+    #[default]
     Unchecked,
     /// Behind the maximum size of the response.
     TooLarge,
 }
 
+/// Bytes that were scanned, of which there are this many.
+enum Scanned {
+    /// They are passed on.
+    Kept(usize),
+    /// They belong to a chunk extension.
+    Removed(usize),
+}
+
 /// Scans the responses of a connection, one after another.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct ResponseScanner {
     position: Position,
     /// The bytes of the current head.
     head: Vec<u8>,
     /// Number of chunks of the current response whose size has been received, without the last chunk.
     chunks: u64,
+    /// Number of bytes of the current chunk extension.
+    extension_size: usize,
     /// Number of bytes by which the body of the current response may still grow.
     remaining: u64,
 }
 
-impl Default for ResponseScanner {
-    /// Creates a scanner for a connection on which nothing has been requested.
-    fn default() -> Self {
-        ResponseScanner { position: Position::Unchecked, head: Vec::new(), chunks: 0, remaining: 0 }
-    }
-}
-
 impl ResponseScanner {
     /// Starts to scan the response to the next request, whose body may have up to `max_size` bytes.
     pub fn start_response(&mut self, max_size: u64) {
         *self =
-            ResponseScanner { position: Position::Head, head: Vec::new(), chunks: 0, remaining: max_size };
+            ResponseScanner { position: Position::Head, remaining: max_size, ..ResponseScanner::default() };
     }
 
     /// Returns whether the current response has been found to be too large.
@@ -84,28 +94,40 @@
         }
     }
 
-    /// Scans received bytes.
+    /// Scans received bytes and removes chunk extensions. Returns the number of bytes that are left at the start
+    /// of `bytes`.
     ///
     /// # Errors
     ///
     /// Returns an error if the response is too large.
-    pub fn scan(&mut self, bytes: &[u8]) -> Result<(), ResponseTooLarge> {
+    pub fn scan(&mut self, bytes: &mut [u8]) -> Result<usize, ResponseTooLarge> {
         let mut scanned = 0;
+        let mut kept = 0;
         while scanned < bytes.len() {
-            scanned += self.advance(&bytes[scanned..]);
+            match self.advance(&bytes[scanned..]) {
+                Scanned::Kept(length) => {
+                    if kept < scanned {
+                        bytes.copy_within(scanned..scanned + length, kept);
+                    }
+                    scanned += length;
+                    kept += length;
+                }
+                Scanned::Removed(length) => scanned += length,
+            }
             if self.is_too_large() {
-                return Err(ResponseTooLarge { valid_bytes: scanned });
+                return Err(ResponseTooLarge { valid_bytes: kept });
             }
         }
-        Ok(())
+        Ok(kept)
     }
 
-    /// Scans the first of these bytes and returns their number. It is 0 only if the position changes.
-    fn advance(&mut self, bytes: &[u8]) -> usize {
-        match self.position {
+    /// Scans the first of these bytes. Their number is 0 only if the position changes.
+    fn advance(&mut self, bytes: &[u8]) -> Scanned {
+        let kept = match self.position {
             Position::Head => self.scan_head(bytes),
             Position::ChunkSize(size) => self.scan_chunk_size(size, bytes[0]),
-            Position::ChunkExtension(size) => self.scan_chunk_extension(size, bytes[0]),
+            Position::ChunkSizeEnd(size) => self.scan_chunk_size_end(size, bytes[0]),
+            Position::ChunkExtension(size) => return Scanned::Removed(self.scan_extension(size, bytes[0])),
             Position::ChunkData(left) => self.scan_chunk_data(left, bytes.len()),
             Position::ChunkEnd => {
                 if bytes[0] == b'\n' {
@@ -116,7 +138,8 @@
             Position::UnknownLength => self.scan_unknown_length(bytes.len()),
             Position::Unchecked => bytes.len(),
             Position::TooLarge => 0,
-        }
+        };
+        Scanned::Kept(kept)
     }
 
     /// Scans bytes of a head. Returns how many of them belong to it.
@@ -143,7 +166,7 @@
     /// Scans a byte of a chunk's size, whose digits form `size` so far.
     fn scan_chunk_size(&mut self, size: u64, byte: u8) -> usize {
         let Some(digit) = char::from(byte).to_digit(CHUNK_SIZE_RADIX) else {
-            self.position = Position::ChunkExtension(size);
+            self.position = Position::ChunkSizeEnd(size);
             return 0;
         };
         let new_size = size.saturating_mul(CHUNK_SIZE_RADIX.into()).saturating_add(digit.into());
@@ -156,16 +179,33 @@
     }
 
     /// Scans a byte between the size of a chunk and its data.
-    fn scan_chunk_extension(&mut self, size: u64, byte: u8) -> usize {
-        if byte != b'\n' {
-            return 1;
+    fn scan_chunk_size_end(&mut self, size: u64, byte: u8) -> usize {
+        match byte {
+            b';' => {
+                self.position = Position::ChunkExtension(size);
+                self.extension_size = 0;
+                return 0;
+            }
+            b'\n' if size == 0 => self.position = Position::Unchecked,
+            b'\n' => {
+                self.position = Position::ChunkData(size);
+                self.chunks += 1;
+                self.remaining -= size;
+            }
+            _ => {}
         }
-        if size == 0 {
-            self.position = Position::Unchecked;
-        } else {
-            self.position = Position::ChunkData(size);
-            self.chunks += 1;
-            self.remaining -= size;
+        1
+    }
+
+    /// Scans a byte within a chunk extension or at its end. Returns the number of bytes to remove.
+    fn scan_extension(&mut self, size: u64, byte: u8) -> usize {
+        if matches!(byte, b'\r' | b'\n') {
+            self.position = Position::ChunkSizeEnd(size);
+            return 0;
+        }
+        self.extension_size += 1;
+        if self.extension_size > MAX_EXTENSION_SIZE {
+            self.position = Position::TooLarge;
         }
         1
     }
--- a/src/upstream/tracked_stream.rs
+++ b/src/upstream/tracked_stream.rs
@@ -31,7 +31,8 @@
 }
 
 impl AsyncRead for TrackedStream {
-    /// Reads bytes up to the first one that shows that the response is too large, where the stream fails.
+    /// Reads bytes without chunk extensions, up to the first byte that shows that the response is too large,
+    /// where the stream fails.
     fn poll_read(
         mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
@@ -39,15 +40,22 @@
             return Poll::Ready(Err(too_large()));
         }
         let before = buf.filled().len();
-        ready!(Pin::new(&mut self.socket).poll_read(cx, buf))?;
-        let scanned = self.scanner.borrow_mut().scan(&buf.filled()[before..]);
-        if let Err(ResponseTooLarge { valid_bytes }) = scanned {
-            if valid_bytes == 0 {
-                return Poll::Ready(Err(too_large()));
+        loop {
+            ready!(Pin::new(&mut self.socket).poll_read(cx, buf))?;
+            let received = &mut buf.filled_mut()[before..];
+            if received.is_empty() {
+                return Poll::Ready(Ok(()));
+            }
+            let left = match self.scanner.borrow_mut().scan(received) {
+                Err(ResponseTooLarge { valid_bytes: 0 }) => return Poll::Ready(Err(too_large())),
+                Ok(left) | Err(ResponseTooLarge { valid_bytes: left }) => left,
+            };
+            buf.set_filled(before + left);
+            // Without any byte left, the read would be taken for the end of the stream.
+            if left > 0 {
+                return Poll::Ready(Ok(()));
             }
-            buf.set_filled(before + valid_bytes);
         }
-        Poll::Ready(Ok(()))
     }
 }
 
--- a/tests/malformed_responses.rs
+++ b/tests/malformed_responses.rs
@@ -143,6 +143,7 @@
         MalformedRest::size(""),
         MalformedRest { start: "", content: "0", interval: EVENT_INTERVAL },
         MalformedRest { start: "f;", content: "a", interval: EVENT_INTERVAL },
+        MalformedRest { start: "f;", content: "name=value;", interval: Duration::ZERO },
         MalformedRest { start: "0\r\n", content: "A: b\r\n", interval: EVENT_INTERVAL },
     ];
     assert_interrupted(&rests, &play(STREAM_START, &rests, END_WITHIN));
@@ -281,6 +282,7 @@
         SoundStream::chunks("events across chunks", data, 17, chunk),
         SoundStream::chunks("several events per chunk", data, 150, chunk),
         SoundStream::chunks("extensions", data, 17, with_extension),
+        SoundStream::chunks("many extensions", &stream_data(5_000), 17, with_extension),
         SoundStream::chunks("leading zeros", data, 17, with_zeros),
         SoundStream::chunks("large chunks", &stream_data(70_000), 1 << 17, chunk),
     ]
--- a/tests/response_scanner.rs
+++ b/tests/response_scanner.rs
@@ -20,6 +20,10 @@
         (format!("{CHUNKED}A;b=c\r\nabcdefghij\r\n00a \r\nklmnopqrst\r\n0\r\nd: e\r\n\r\n"), None),
         // Neither the data of a chunk nor what follows the last one is taken for a size.
         (format!("{CHUNKED}8\r\nff\r\nff\r\n\r\n0\r\nff\r\nff\r\n"), None),
+        // What precedes an extension stays, so that a size that cannot be read is still rejected.
+        (format!("{CHUNKED}1x;b=c\r\na\r\n"), None),
+        (format!("{CHUNKED};b=c\r\na\r\n"), None),
+        (format!("{CHUNKED}15;b=c\r\nabc"), Some("5;b=c\r\nabc")),
         (format!("{CHUNKED}15\r\nabc"), Some("5\r\nabc")),
         (format!("{CHUNKED}b2d05e00\r\nabc"), Some("2d05e00")),
         (format!("{CHUNKED}00000000000000000000b2d05e00\r\nabc"), Some("2d05e00")),
@@ -35,21 +39,32 @@
     ]
 }
 
-/// Scans a response in pieces that end at these positions. Returns the number of bytes up to the excess, if
-/// there is any.
-fn scan(response: &str, ends: impl IntoIterator<Item = usize>) -> Option<usize> {
+/// Scans a response in pieces that end at these positions. Returns the bytes that are left, and whether the
+/// response is too large.
+fn scan(response: &str, ends: impl IntoIterator<Item = usize>) -> (String, bool) {
     let mut scanner = ResponseScanner::default();
     scanner.start_response(MAX_SIZE);
     let mut start = 0;
+    let mut left = Vec::new();
     for end in ends {
-        if let Err(ResponseTooLarge { valid_bytes }) = scanner.scan(&response.as_bytes()[start..end]) {
-            assert!(scanner.is_too_large());
-            return Some(start + valid_bytes);
+        let mut piece = response.as_bytes()[start..end].to_vec();
+        let result = scanner.scan(&mut piece);
+        let (Ok(length) | Err(ResponseTooLarge { valid_bytes: length })) = result;
+        left.extend_from_slice(&piece[..length]);
+        assert_eq!(scanner.is_too_large(), result.is_err());
+        if result.is_err() {
+            break;
         }
         start = end;
     }
-    assert!(!scanner.is_too_large());
-    None
+    (String::from_utf8(left).expect("the response is not UTF-8"), scanner.is_too_large())
+}
+
+/// Returns what is expected to be left of a response that is too large from `excess` on.
+fn expected_result(response: &str, excess: Option<&str>) -> (String, bool) {
+    let end = excess.map_or(response.len(), |excess| response.rfind(excess).expect("no such excess"));
+    // The only extension in these responses.
+    (response[..end].replace(";b=c", ""), excess.is_some())
 }
 
 // Guards against a size that is overlooked because of where the bytes were split when they arrived.
@@ -58,7 +73,7 @@
     let mut rng = Rng::with_seed(SEED);
     for (response, excess) in responses() {
         let length = response.len();
-        let expected = excess.map(|excess| response.rfind(excess).expect("the excess is in the response"));
+        let expected = expected_result(&response, excess);
         assert_eq!(scan(&response, [length]), expected, "{response:?} at once");
         assert_eq!(scan(&response, 1..=length), expected, "{response:?} byte by byte");
         for _ in 0..RANDOM_SPLITS {
@@ -75,8 +90,9 @@
     for _ in 0..3 {
         scanner.start_response(MAX_SIZE);
         let response = format!("{CHUNKED}14\r\nabcdefghijklmnopqrst\r\n0\r\n\r\n");
-        assert_eq!(scanner.scan(response.as_bytes()), Ok(()));
+        assert_eq!(scanner.scan(&mut response.clone().into_bytes()), Ok(response.len()));
         // What arrives behind a response is not scanned.
-        assert_eq!(scanner.scan(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n"), Ok(()));
+        let mut excess = *b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n";
+        assert_eq!(scanner.scan(&mut excess), Ok(excess.len()));
     }
 }
