Test that an answer gathered in memory has a limit

Callers saw: a client of the chat API that does not stream gets its answer when all of it has arrived; a spoilt one was gathered until the process ended, and with it all other requests.

--- a/tests/malformed_responses.rs
+++ b/tests/malformed_responses.rs
@@ -6,9 +6,11 @@
 use std::thread::{JoinHandle, sleep, spawn};
 use std::time::{Duration, Instant};
 
+use common::config_files::{chat_config, loopback_address, path_argument};
 use common::connection::{BodyEnd, ChunkedBody, Connection};
 use common::messages::{STREAM_END, STREAM_START, request};
-use common::router_process::WAIT_TIMEOUT;
+use common::router_process::{RouterProcess, WAIT_TIMEOUT};
+use common::stub_listener::StubListener;
 use common::stubbed_router::{StubbedRouter, answer_prefill, start_stream};
 
 /// Within this time after a stream became malformed, the client's connection has to end: 5 s and 50 ms.
@@ -370,3 +372,43 @@
     running.into_iter().for_each(RunningStream::assert_complete);
     router.process.terminate();
 }
+
+/// Starts a router that serves the chat API with the endpoint `s1`.
+fn start_chat_router(base: &str) -> RouterProcess {
+    let config = chat_config(base, &["s1"], "");
+    let mut router = RouterProcess::start(base, &["--chat", path_argument(&config)], &[]);
+    router.wait_for_log("listening api=\"chat\"");
+    router
+}
+
+// Guards against an answer that is gathered in memory until the process is killed, as a client that does not
+// stream gets its answer only when all of it has arrived.
+#[test]
+fn an_answer_that_is_gathered_in_memory_has_a_limit() {
+    let base = loopback_address();
+    let stub = StubListener::endpoint(&base, "s1");
+    let router = start_chat_router(&base);
+    let body = r#"{"model":"route-save","messages":[{"role":"user","content":"hello"}]}"#;
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
+    let text = " ".repeat(1 << 16);
+    let answers = [
+        (format!("{head}Content-Length: 3000000000\r\n\r\n"), text.clone()),
+        (format!("{head}Transfer-Encoding: chunked\r\n\r\n{GIGABYTES}"), text.clone()),
+        (format!("{head}Transfer-Encoding: chunked\r\n\r\n"), chunk(&text)),
+        (format!("{head}\r\n"), text),
+    ];
+    for (start, content) in answers {
+        let mut client = Connection::open(&format!("{base}:8090"));
+        let length = body.len();
+        client.send(&format!(
+            "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n{body}"
+        ));
+        let mut endpoint = stub.accept();
+        endpoint.read_message();
+        endpoint.send(&start);
+        let sending = spawn(move || endpoint.send_until_closed(&content, Duration::ZERO));
+        assert!(client.read_message().head.starts_with("HTTP/1.1 502"), "{start:?}");
+        sending.join().expect("the endpoint failed");
+    }
+    router.terminate();
+}
