Send malformed chunks in the soak

Cause: the soak's endpoints rejected, hung, crashed and cut streams off, but never went on sending what is no stream, so a stream that never ends was not seen under faults.

Change: 20 streams in 1,000 go on with a chunk whose size cannot be read or does not fit, with events, comments, empty lines or text in it, until the replica closes the connection. A new invariant asserts that the client's connection ends within 5 s and 50 ms, unless the client left or reads slowly or the replica was ended.

--- a/tests/soak/client.rs
+++ b/tests/soak/client.rs
@@ -135,6 +135,7 @@
     state.update_request(id, |record| record.sent_at = Some(sent_at));
     let deadline = sent_at + Duration::from_millis(parameters.timeout_ms) + RESPONSE_GRACE;
     let behavior = draw_read_behavior(state, sent_at, deadline);
+    state.update_request(id, |record| record.reads_slowly = behavior.pause.is_some());
     let Some(outcome) = read_response(connection, &behavior).await else {
         state.update_request(id, |record| record.client_disconnected_at = Some(Instant::now()));
         return Persistence::Close;
@@ -161,6 +162,8 @@
         first_on_connection: connection.request_count == 0,
         sent_at: None,
         timeout_ms: parameters.timeout_ms,
+        reads_slowly: false,
+        stream_malformed_at: None,
         client_disconnected_at: None,
         response: None,
         replica_terminated: false,
--- a/tests/soak/endpoint.rs
+++ b/tests/soak/endpoint.rs
@@ -11,6 +11,7 @@
 use tokio::task::{JoinHandle, JoinSet, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
+use super::malformed_chunk::MalformedChunk;
 use super::message::{Message, Persistence, read_message, wait_until_closed};
 use super::run_state::{Attempt, AttemptId, AttemptOutcome, Lifecycle, ListedEndpoint, Role, RunState};
 
@@ -32,6 +33,8 @@
     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 /// The last event of a stream, followed by the last chunk.
 const STREAM_END: &str = "e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n";
+/// Interval at which the content of a malformed chunk is sent.
+const MALFORMED_CONTENT_INTERVAL: Duration = Duration::from_millis(30);
 /// Time after which idle connections are closed; real endpoints do so too.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Length of the queue of connections to accept.
@@ -283,14 +286,15 @@
             return AttemptResult::respond(writer, KV_CACHE_MISSING_RESPONSE, AttemptOutcome::NotStarted)
                 .await;
         }
-        self.stream(writer).await
+        self.stream(request_id, writer).await
     }
 
     /// Sends a random number of events, each with its own number and the total. 10 streams in 1,000 are cut
-    /// off after about half of the events.
-    async fn stream(&self, writer: &mut OwnedWriteHalf) -> AttemptResult {
+    /// off after about half of the events, and 20 go on with a malformed chunk there.
+    async fn stream(&self, request_id: &str, writer: &mut OwnedWriteHalf) -> AttemptResult {
         let event_count = self.state.draw(2..20);
         let is_cut_off = self.state.chance_per_thousand(10);
+        let is_malformed = self.state.chance_per_thousand(20);
         if writer.write_all(STREAM_HEAD.as_bytes()).await.is_err() {
             return AttemptResult::connection_lost();
         }
@@ -301,9 +305,26 @@
             if written.is_err() || (is_cut_off && number == event_count / 2) {
                 return AttemptResult::connection_lost();
             }
+            if is_malformed && number == event_count / 2 {
+                return self.send_malformed_chunk(request_id, writer).await;
+            }
             sleep(self.state.draw_duration_ms(5..60)).await;
             self.wait_until_hang_ends().await;
         }
         AttemptResult::respond(writer, STREAM_END, AttemptOutcome::PossiblyExecuted).await
     }
+
+    /// Sends a malformed chunk until the replica closes the connection.
+    async fn send_malformed_chunk(&self, request_id: &str, writer: &mut OwnedWriteHalf) -> AttemptResult {
+        self.state.record_fault("malformed chunk");
+        let chunk = MalformedChunk::draw(&self.state);
+        let malformed_at = Instant::now();
+        self.state.update_request(request_id, |record| record.stream_malformed_at = Some(malformed_at));
+        let mut written = writer.write_all(chunk.size_line.as_bytes()).await;
+        while written.is_ok() {
+            sleep(MALFORMED_CONTENT_INTERVAL).await;
+            written = writer.write_all(chunk.content.as_bytes()).await;
+        }
+        AttemptResult::connection_lost()
+    }
 }
--- a/tests/soak/invariant.rs
+++ b/tests/soak/invariant.rs
@@ -24,6 +24,8 @@
     NotRepeatedAfterExecution,
     /// A non-idempotent request is not rejected as safe to retry once it may have been executed.
     NotRejectedAfterExecution,
+    /// A client's connection ends soon after its stream became malformed.
+    MalformedStreamEnded,
     /// A reservation is used by an attempt or released within the limit.
     ReservationInTime,
 }
@@ -41,6 +43,7 @@
             Invariant::SingleAttempt => "concurrent attempts",
             Invariant::NotRepeatedAfterExecution => "sent again after possible execution",
             Invariant::NotRejectedAfterExecution => "rejected after possible execution",
+            Invariant::MalformedStreamEnded => "malformed stream not ended",
             Invariant::ReservationInTime => "reservation held too long",
         })
     }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -18,6 +18,7 @@
 mod endpoint;
 mod fault_injection;
 mod invariant;
+mod malformed_chunk;
 mod message;
 mod replica;
 mod report;
--- a/tests/soak/run_state.rs
+++ b/tests/soak/run_state.rs
@@ -98,6 +98,10 @@
     /// When the client finished writing the request.
     pub(crate) sent_at: Option<Instant>,
     pub(crate) timeout_ms: u64,
+    /// Whether the client pauses after each read.
+    pub(crate) reads_slowly: bool,
+    /// When an endpoint started to send a malformed chunk to the client.
+    pub(crate) stream_malformed_at: Option<Instant>,
     /// When the client disconnected without waiting for the end of the response.
     pub(crate) client_disconnected_at: Option<Instant>,
     pub(crate) response: Option<Response>,
--- a/tests/soak/verifier.rs
+++ b/tests/soak/verifier.rs
@@ -7,7 +7,8 @@
 
 use super::invariant::{Invariant, Violation};
 use super::run_state::{
-    Attempt, AttemptEnd, AttemptOutcome, Idempotency, RequestRecord, ResponseOutcome, Role, RunRecord,
+    Attempt, AttemptEnd, AttemptOutcome, Idempotency, RequestRecord, Response, ResponseOutcome, Role,
+    RunRecord,
 };
 
 /// Time after a client's disconnect within which attempts of its request may still arrive.
@@ -22,6 +23,9 @@
 const MAX_RESERVATION: Duration = Duration::from_millis(1_300);
 /// Time after the client's timeout within which a rejection or an error response may still arrive.
 const MAX_RESPONSE_DELAY: Duration = Duration::from_millis(500);
+/// Time after a stream became malformed within which the client's connection has to end: 5 s, plus 50 ms of
+/// transmission time.
+const MAX_MALFORMED_STREAM: Duration = Duration::from_millis(5_050);
 /// Assumed duration of a reservation whose release is not on record; exceeds any allowed duration.
 const UNRELEASED_RESERVATION_DURATION: Duration = Duration::from_secs(60);
 
@@ -58,6 +62,7 @@
         verifier.check_attempts(request);
         verifier.check_repeated_execution(request);
         verifier.check_reservations(request);
+        verifier.check_malformed_stream(request);
     }
     verifier.check_logs(logs);
     verifier.check_recorded_violations();
@@ -276,6 +281,29 @@
         }
     }
 
+    /// Checks that the client's connection ended soon after its stream became malformed. A client that reads
+    /// slowly may notice the end late.
+    fn check_malformed_stream(&mut self, request: RequestEntry<'_>) {
+        let Some(malformed_at) = request.record.stream_malformed_at else { return };
+        let client_left = request.record.client_disconnected_at.is_some();
+        if client_left || request.record.reads_slowly || request.record.replica_terminated {
+            return;
+        }
+        let latest = malformed_at + MAX_MALFORMED_STREAM + self.tolerance;
+        let ended_at = match request.record.response {
+            Some(Response { at, outcome: ResponseOutcome::StreamBroken }) => at,
+            Some(_) => {
+                self.report(Invariant::MalformedStreamEnded, request, "but served");
+                return;
+            }
+            None => Instant::now(),
+        };
+        if ended_at > latest {
+            let late = ended_at.saturating_duration_since(malformed_at).as_millis();
+            self.report(Invariant::MalformedStreamEnded, request, &format!("for {late} ms"));
+        }
+    }
+
     /// Checks that no replica logged a violation or a panic.
     fn check_logs(&mut self, logs: &str) {
         for line in logs.lines() {
