Move the response head and the stream error to modules of their own

Cause: event_stream.rs had three concerns, and response.rs, which reads bodies that are no streams, imported from it.

Change: a move without any change of what the program does. ResponseHead is in response_head.rs, StreamError and StreamChunk are in stream_error.rs.

--- a/src/request/responder.rs
+++ b/src/request/responder.rs
@@ -3,7 +3,8 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::scheduler::Micros;
-use crate::upstream::event_stream::{ResponseHead, StreamChunk};
+use crate::upstream::response_head::ResponseHead;
+use crate::upstream::stream_error::StreamChunk;
 
 /// A request's final answer, which the API encodes in its own protocol.
 pub enum RoutedResponse {
--- a/src/request/stream.rs
+++ b/src/request/stream.rs
@@ -7,7 +7,8 @@
 use super::responder::RoutedResponse;
 use crate::scheduler::Outcome;
 use crate::scheduler_handle::{RequestCommand, RequestHandle};
-use crate::upstream::event_stream::{EventStream, StreamChunk, StreamError};
+use crate::upstream::event_stream::EventStream;
+use crate::upstream::stream_error::{StreamChunk, StreamError};
 
 /// Number of chunks buffered for a slow client. When the buffer is full, the endpoint's connection is not
 /// read, so backpressure reaches the endpoint and the router's memory use stays bounded.
--- a/src/server/response.rs
+++ b/src/server/response.rs
@@ -9,7 +9,7 @@
 use super::handler::ServerResponse;
 use super::stream_body::StreamBody;
 use crate::scheduler::Micros;
-use crate::upstream::event_stream::StreamChunk;
+use crate::upstream::stream_error::StreamChunk;
 
 /// Builds a response with a complete body.
 pub(super) fn complete_response(
--- a/src/server/stream_body.rs
+++ b/src/server/stream_body.rs
@@ -9,7 +9,7 @@
 use tokio::sync::mpsc;
 
 use super::connection_state::ClientState;
-use crate::upstream::event_stream::{StreamChunk, StreamError};
+use crate::upstream::stream_error::{StreamChunk, StreamError};
 
 /// A response body that forwards chunks as they arrive. If the stream breaks, the body fails, which closes
 /// the connection.
--- a/src/upstream/attempt.rs
+++ b/src/upstream/attempt.rs
@@ -9,13 +9,14 @@
 use crate::scheduler::{EndpointId, LoadReport, Outcome};
 use crate::upstream::connect::{ConnectError, Connection};
 use crate::upstream::event_framer::EventFormat;
-use crate::upstream::event_stream::{EventStream, ResponseHead, StreamSource};
+use crate::upstream::event_stream::{EventStream, StreamSource};
 use crate::upstream::exchange::{AttemptResponse, FirstResponse, RequestPayload, Upstream, UpstreamProtocol};
 use crate::upstream::load_report;
 use crate::upstream::request_head;
 use crate::upstream::response::{
     FAILURE_BODY_TIMEOUT, ResponseClass, classify, parse_cached_tokens, read_body,
 };
+use crate::upstream::response_head::ResponseHead;
 use crate::upstream::send_gate::{AttemptDeadlines, AttemptInFlight, SendDenied, SendGate};
 use crate::upstream::write_progress::{TrackedBody, WriteProgress};
 
--- a/src/upstream/event_stream.rs
+++ b/src/upstream/event_stream.rs
@@ -1,15 +1,11 @@
 //! A streaming response from an endpoint: yields complete events, and reports an error if the stream breaks.
 
-use std::error::Error;
-use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::StatusCode;
 use hyper::body::{Frame, Incoming};
-use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use tokio::time::{Instant, timeout_at};
 
 use crate::scheduler::{EndpointId, Outcome};
@@ -17,37 +13,13 @@
 use crate::upstream::connect::Connection;
 use crate::upstream::connection_pool::ConnectionPool;
 use crate::upstream::event_framer::{EventFormat, EventFramer, MalformedEvents};
+use crate::upstream::response_head::ResponseHead;
+use crate::upstream::stream_error::{StreamChunk, StreamError};
 
 /// Maximum time without an event on a running stream before its endpoint counts as dead. Lower than the 5 s
 /// for which clients may be left without an event.
 const MAX_SILENCE: Duration = Duration::from_millis(4_300);
 
-/// Media type of an event stream, without parameters.
-const EVENT_STREAM_TYPE: &[u8] = b"text/event-stream";
-
-/// The status and content type of an endpoint's response, passed to the client unchanged.
-#[derive(Clone, Debug)]
-pub struct ResponseHead {
-    /// The status.
-    pub status: StatusCode,
-    /// The content type.
-    pub content_type: Option<HeaderValue>,
-}
-
-impl ResponseHead {
-    /// Extracts the status and content type from a response head.
-    pub(super) fn new(status: StatusCode, headers: &HeaderMap) -> Self {
-        ResponseHead { status, content_type: headers.get(CONTENT_TYPE).cloned() }
-    }
-
-    /// Returns whether the response is an event stream.
-    pub fn is_event_stream(&self) -> bool {
-        let Some(content_type) = &self.content_type else { return false };
-        let media_type = content_type.as_bytes().get(..EVENT_STREAM_TYPE.len());
-        media_type.is_some_and(|media_type| media_type.eq_ignore_ascii_case(EVENT_STREAM_TYPE))
-    }
-}
-
 /// The source of a stream.
 pub(super) struct StreamSource {
     /// Receives the connection when the stream is complete.
@@ -57,39 +29,6 @@
     pub(super) body: Incoming,
 }
 
-/// The stream ended before it was complete. The client must be able to detect this on its connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum StreamError {
-    /// The connection was lost or the endpoint stopped sending.
-    #[error("the stream was interrupted before its end")]
-    Interrupted,
-    /// The endpoint sent data that is not a valid event stream.
-    #[error("the stream contains malformed data")]
-    Malformed,
-}
-
-impl StreamError {
-    /// Classifies the error with which reading a body failed: malformed HTTP, or a lost connection.
-    pub(super) fn classify(error: &hyper::Error) -> Self {
-        let io_kind =
-            error.source().and_then(|source| source.downcast_ref::<io::Error>()).map(io::Error::kind);
-        let is_invalid = matches!(io_kind, Some(io::ErrorKind::InvalidInput | io::ErrorKind::InvalidData));
-        if error.is_parse() || is_invalid { StreamError::Malformed } else { StreamError::Interrupted }
-    }
-}
-
-impl From<StreamError> for Outcome {
-    fn from(error: StreamError) -> Self {
-        match error {
-            StreamError::Interrupted => Outcome::ConnectionLost,
-            StreamError::Malformed => Outcome::Malformed,
-        }
-    }
-}
-
-/// A chunk of a stream, or the error that ended the stream.
-pub type StreamChunk = Result<Bytes, StreamError>;
-
 /// Why the wait for a frame of a stream ended without one.
 enum WaitExpired {
     /// No event arrived for too long.
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -6,9 +6,11 @@
 pub mod event_stream;
 pub mod exchange;
 pub mod release;
+pub mod response_head;
 pub mod response_limit;
 pub mod response_scanner;
 pub mod send_gate;
+pub mod stream_error;
 pub mod write_progress;
 
 mod attempt;
--- a/src/upstream/response.rs
+++ b/src/upstream/response.rs
@@ -10,9 +10,9 @@
 use serde::Deserialize;
 
 use crate::scheduler::Outcome;
-use crate::upstream::event_stream::StreamError;
 use crate::upstream::exchange::UpstreamProtocol;
 use crate::upstream::response_limit::MAX_CONTROL_BODY_SIZE;
+use crate::upstream::stream_error::StreamError;
 
 /// Maximum wait for the body of a rejection or an error. It usually arrives with the head, and its content is
 /// not used: it is read only so that the connection can be reused.
