Log why a stream failed

Cause: a spoilt stream, a silent endpoint and a lost connection showed in the log by their outcome alone, so whoever is on call could not tell a chunk that is too large from one that does not fit or from data that is no event.

Change: `stream failed` names the request, the endpoint and the reason. The ways in which a read can fail are one type, ReadFailure, and next_frame returns it. ChunkTimer reads the clock only during a wait for a chunk with a limit.

--- a/src/upstream/attempt.rs
+++ b/src/upstream/attempt.rs
@@ -203,8 +203,13 @@
             UpstreamProtocol::Platform => EventFormat::Opaque,
             UpstreamProtocol::Chat(_) => EventFormat::ChatCompletions,
         };
-        let pool = self.upstream.pool().clone();
-        let source = StreamSource { pool, endpoint: self.endpoint, connection, body };
+        let source = StreamSource {
+            request_id: self.payload.id.clone(),
+            pool: self.upstream.pool().clone(),
+            endpoint: self.endpoint,
+            connection,
+            body,
+        };
         let mut events = EventStream::new(source, response_head, format);
         match events.wait_for_first_event().await {
             Ok(()) => AttemptResponse::Streaming(Box::new(events)),
--- a/src/upstream/chunk_timer.rs
+++ b/src/upstream/chunk_timer.rs
@@ -15,26 +15,31 @@
 pub(super) struct ChunkTimer {
     /// Index of the current chunk.
     chunk: Option<u64>,
-    /// Time spent waiting for its data.
+    /// Time spent waiting for its data in earlier waits.
     waited: Duration,
+    /// When the current wait started; `None` if there is none, or no limit for the chunk.
+    wait_started: Option<Instant>,
 }
 
 impl ChunkTimer {
-    /// Returns when the wait for this chunk, which begins or goes on at `now`, has taken too long. `chunk` is its
-    /// index within the response, or `None` between chunks.
+    /// Starts a wait for data of this chunk, given by its index within the response, or for the next chunk if
+    /// there is no current one. Returns when the wait has taken too long.
     ///
     /// There is no limit for the first chunk: an answer in a single chunk is complete or not with that chunk,
     /// like one of known length, and may be as slow.
-    pub(super) fn deadline(&mut self, chunk: Option<u64>, now: Instant) -> Option<Instant> {
+    pub(super) fn start_wait(&mut self, chunk: Option<u64>) -> Option<Instant> {
         if chunk != self.chunk {
-            *self = ChunkTimer { chunk, waited: Duration::ZERO };
+            *self = ChunkTimer { chunk, ..ChunkTimer::default() };
         }
         let is_limited = chunk.is_some_and(|index| index > 0);
-        is_limited.then(|| now + MAX_CHUNK_WAIT.saturating_sub(self.waited))
+        self.wait_started = is_limited.then(Instant::now);
+        Some(self.wait_started? + MAX_CHUNK_WAIT.saturating_sub(self.waited))
     }
 
-    /// Records a wait.
-    pub(super) fn record_wait(&mut self, waited: Duration) {
-        self.waited += waited;
+    /// Ends the current wait.
+    pub(super) fn end_wait(&mut self) {
+        if let Some(started) = self.wait_started.take() {
+            self.waited += started.elapsed();
+        }
     }
 }
--- a/src/upstream/event_stream.rs
+++ b/src/upstream/event_stream.rs
@@ -1,5 +1,6 @@
 //! A streaming response from an endpoint: yields complete events, and reports an error if the stream breaks.
 
+use std::error::Error;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -22,6 +23,8 @@
 
 /// The source of a stream.
 pub(super) struct StreamSource {
+    /// The ID of the request that is answered.
+    pub(super) request_id: Rc<str>,
     /// Receives the connection when the stream is complete.
     pub(super) pool: Rc<ConnectionPool>,
     pub(super) endpoint: EndpointId,
@@ -29,16 +32,48 @@
     pub(super) body: Incoming,
 }
 
-/// Why the wait for a frame of a stream ended without one.
-enum WaitExpired {
+/// Why a stream cannot be read any further.
+#[derive(Debug, thiserror::Error)]
+enum ReadFailure {
+    /// The connection was lost, or the response is not valid HTTP or too large.
+    #[error("{}", root_cause(.0))]
+    Body(hyper::Error),
+    /// The body ended before the stream did.
+    #[error("the body ended before the stream was complete")]
+    EndOfBody,
     /// No event arrived for too long.
+    #[error("no event for {} ms", MAX_SILENCE.as_millis())]
     Silence,
     /// Bytes still arrive, but the current chunk should have been complete.
+    #[error("a chunk has less data than its size says")]
     IncompleteChunk,
+    /// The data is not a stream of events.
+    #[error(transparent)]
+    Events(#[from] MalformedEvents),
+}
+
+impl ReadFailure {
+    fn stream_error(&self) -> StreamError {
+        match self {
+            ReadFailure::Body(error) => StreamError::classify(error),
+            ReadFailure::EndOfBody | ReadFailure::Silence => StreamError::Interrupted,
+            ReadFailure::IncompleteChunk | ReadFailure::Events(_) => StreamError::Malformed,
+        }
+    }
+}
+
+/// Returns the error at the end of the chain of sources, which is the most specific one.
+fn root_cause(error: &hyper::Error) -> &dyn Error {
+    let mut cause: &dyn Error = error;
+    while let Some(source) = cause.source() {
+        cause = source;
+    }
+    cause
 }
 
 /// A streaming response from an endpoint. Dropping it closes the connection.
 pub struct EventStream {
+    request_id: Rc<str>,
     pool: Rc<ConnectionPool>,
     endpoint: EndpointId,
     /// `None` once the stream is complete or broken.
@@ -58,6 +93,7 @@
     pub(super) fn new(source: StreamSource, head: ResponseHead, format: EventFormat) -> Self {
         let framer = if head.is_event_stream() { Some(EventFramer::new(format)) } else { None };
         EventStream {
+            request_id: source.request_id,
             pool: source.pool,
             endpoint: source.endpoint,
             connection: Some(source.connection),
@@ -118,40 +154,33 @@
         let silence_deadline = Instant::now() + MAX_SILENCE;
         loop {
             let frame = match self.next_frame(silence_deadline).await {
-                Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(error))) => {
-                    return self.fail_unless_error_reported(StreamError::classify(&error));
-                }
+                Ok(Some(frame)) => frame,
                 Ok(None) => return self.handle_end_of_body(),
-                Err(WaitExpired::Silence) => return self.handle_silence(),
-                Err(WaitExpired::IncompleteChunk) => {
-                    return self.fail_unless_error_reported(StreamError::Malformed);
-                }
+                Err(failure) => return self.fail_unless_error_reported(&failure),
             };
             // Trailers are not forwarded.
             let Ok(data) = frame.into_data() else { continue };
             match self.complete_events(data) {
                 Ok(events) if events.is_empty() => {}
                 Ok(events) => return Some(Ok(events)),
-                Err(MalformedEvents) => return self.fail(StreamError::Malformed),
+                Err(error) => return self.fail(&error.into()),
             }
         }
     }
 
     /// Waits for the next frame of the body until `silence_deadline`, or until the current chunk has taken too
     /// long.
-    async fn next_frame(
-        &mut self, silence_deadline: Instant,
-    ) -> Result<Option<Result<Frame<Bytes>, hyper::Error>>, WaitExpired> {
-        let wait_started = Instant::now();
+    async fn next_frame(&mut self, silence_deadline: Instant) -> Result<Option<Frame<Bytes>>, ReadFailure> {
         let chunk = self.connection.as_ref().and_then(Connection::incomplete_chunk);
-        let chunk_deadline = self.chunk_timer.deadline(chunk, wait_started);
+        let chunk_deadline = self.chunk_timer.start_wait(chunk);
         let deadline = chunk_deadline.map_or(silence_deadline, |deadline| deadline.min(silence_deadline));
         let received = timeout_at(deadline, self.body.frame()).await;
-        self.chunk_timer.record_wait(wait_started.elapsed());
-        received.map_err(|_elapsed| {
-            if deadline == silence_deadline { WaitExpired::Silence } else { WaitExpired::IncompleteChunk }
-        })
+        self.chunk_timer.end_wait();
+        match received {
+            Ok(frame) => frame.transpose().map_err(ReadFailure::Body),
+            Err(_elapsed) if deadline == silence_deadline => Err(ReadFailure::Silence),
+            Err(_elapsed) => Err(ReadFailure::IncompleteChunk),
+        }
     }
 
     fn complete_events(&mut self, data: Bytes) -> Result<Bytes, MalformedEvents> {
@@ -164,7 +193,7 @@
     /// Handles the end of the body: returns the connection to the pool if the stream is complete.
     fn handle_end_of_body(&mut self) -> Option<StreamChunk> {
         if !self.framer.as_mut().is_none_or(EventFramer::is_complete_at_end) {
-            return self.fail(StreamError::Interrupted);
+            return self.fail(&ReadFailure::EndOfBody);
         }
         self.ended = true;
         if let Some(connection) = self.connection.take() {
@@ -174,26 +203,28 @@
         if remainder.is_empty() { None } else { Some(Ok(remainder)) }
     }
 
-    /// Handles a silent endpoint, whose other connections may be silent too.
-    fn handle_silence(&mut self) -> Option<StreamChunk> {
-        if !self.reported_error() {
-            self.pool.invalidate(self.endpoint);
-        }
-        self.fail_unless_error_reported(StreamError::Interrupted)
-    }
-
     /// Ends a broken stream. After an error event the client already has its response, so no error is added.
-    fn fail_unless_error_reported(&mut self, error: StreamError) -> Option<StreamChunk> {
+    fn fail_unless_error_reported(&mut self, failure: &ReadFailure) -> Option<StreamChunk> {
         if self.reported_error() {
             self.ended = true;
             return None;
         }
-        self.fail(error)
+        self.fail(failure)
     }
 
-    fn fail(&mut self, error: StreamError) -> Option<StreamChunk> {
+    fn fail(&mut self, failure: &ReadFailure) -> Option<StreamChunk> {
+        tracing::debug!(
+            request_id = %self.request_id,
+            endpoint = self.endpoint.0,
+            reason = %failure,
+            "stream failed"
+        );
+        // The endpoint's other connections may be silent too.
+        if matches!(failure, ReadFailure::Silence) {
+            self.pool.invalidate(self.endpoint);
+        }
         self.ended = true;
         self.connection = None;
-        Some(Err(error))
+        Some(Err(failure.stream_error()))
     }
 }
--- a/tests/malformed_responses.rs
+++ b/tests/malformed_responses.rs
@@ -191,6 +191,9 @@
         let id = format!("a{number}");
         let (mut client, mut endpoint) = start_decode(&router, &id);
         endpoint.send(response);
+        let failure = format!("stream failed request_id={id} ");
+        router.process.wait_for_log(&failure);
+        router.process.wait_for_log("reason=the response exceeds its maximum size");
         router.process.wait_for_log("attempt=1 outcome=Malformed");
         assert!(answer_retry(&router, &id, &mut client).starts_with("HTTP/1.1 200"), "{response:?}");
         router.process.terminate();
