--- a/tests/common/connection.rs
+++ b/tests/common/connection.rs
@@ -12,6 +12,8 @@
 /// Time within which a closed socket resets the connection. The router's lingering close reads for longer
 /// than this.
 const RESET_TIMEOUT: Duration = Duration::from_secs(1);
+/// Number of bytes of a chunked body after which it counts as one that does not end.
+const MAX_CHUNKED_BODY: usize = 128 * 1024 * 1024;
 /// Maximum number of unread bytes in a failure message.
 const MAX_PREVIEW_BYTES: usize = 1_000;
 
@@ -45,7 +47,7 @@
     LastChunk,
     /// The connection was closed or reset before the last chunk.
     ConnectionClosed,
-    /// Not at all by the deadline.
+    /// Not at all by the deadline, or within [`MAX_CHUNKED_BODY`].
     StillOpen,
 }
 
@@ -155,7 +157,7 @@
         Some(self.read_message())
     }
 
-    /// Reads a chunked body. Stops at `deadline` if bytes still arrive then.
+    /// Reads a chunked body. Stops at `deadline`, or after [`MAX_CHUNKED_BODY`], if bytes still arrive then.
     pub(crate) fn read_chunked_body(&mut self, deadline: Instant) -> ChunkedBody {
         let mut data = String::new();
         loop {
@@ -165,7 +167,7 @@
                 }
                 data.push_str(&chunk);
             }
-            if Instant::now() >= deadline {
+            if Instant::now() >= deadline || data.len() > MAX_CHUNKED_BODY {
                 return ChunkedBody { data, end: BodyEnd::StillOpen };
             }
             if !self.read_more() {
