--- a/src/upstream/response_scanner.rs
+++ b/src/upstream/response_scanner.rs
@@ -15,10 +15,10 @@
 /// Chunk sizes are hexadecimal.
 const CHUNK_SIZE_RADIX: u32 = 16;
 
-/// Maximum size of the extension of one chunk, in bytes.
+/// Maximum size of the extension of one chunk, in bytes. A chunk with a longer one ends the response.
 const MAX_EXTENSION_SIZE: usize = 16 * 1024;
 
-/// A response is larger than its limit, or announces to be.
+/// A response is larger than its limit, or announces that it will be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("the response exceeds its maximum size")]
 pub struct ResponseTooLarge {
@@ -43,8 +43,8 @@
     ChunkEnd,
     /// Within a body that ends with the connection.
     UnknownLength,
-    /// Where nothing has to be checked: before the first request, in a body of known length, in trailers, behind a response, or behind
-    /// bytes that hyper rejects.
+    /// Where nothing has to be checked: before the first request, in a body of known length, in trailers,
+    /// behind a response, or behind bytes that hyper rejects.
     #[default]
     Unchecked,
     /// Behind the maximum size of the response.
--- a/tests/common/connection.rs
+++ b/tests/common/connection.rs
@@ -232,22 +232,19 @@
         usize::from_str_radix(receive_queue, 16).expect("queue length is not hexadecimal")
     }
 
-    /// Writes copies of `text` for `duration`, as fast as the connection takes them. Returns the number of
-    /// bytes written.
-    pub(crate) fn flood(&mut self, text: &str, duration: Duration) -> usize {
+    /// Writes copies of `text` for `duration`, as fast as the connection takes them.
+    pub(crate) fn flood(&mut self, text: &str, duration: Duration) {
         self.socket.set_nonblocking(true).expect("failed to make the socket non-blocking");
         let deadline = Instant::now() + duration;
-        let mut written = 0;
         while Instant::now() < deadline {
             match self.socket.write(text.as_bytes()) {
-                Ok(length) => written += length,
+                Ok(_) => {}
                 Err(error) if error.kind() == ErrorKind::WouldBlock => std::thread::sleep(POLL_INTERVAL),
                 // The peer has closed the connection.
                 Err(_) => break,
             }
         }
         self.socket.set_nonblocking(false).expect("failed to make the socket blocking");
-        written
     }
 
     /// Shuts down the write side.
