Count a chunk as incomplete only while its data is

Callers saw nothing yet: found by reading. An endpoint that sends the line end of a chunk together with the next chunk, and then falls silent, was reported as malformed a moment before its silence was noticed, so its other connections stayed in use.

Cause: the scanner took the line end behind a chunk for a part of the chunk, and ChunkTimer limited the pause before the next event as if data were missing.

Evidence: a_chunk_is_incomplete_only_while_its_data_is fails without this change (Some(0) in place of None once the data was complete). A case with such line ends joins the sound streams; it passed before as well.

--- a/src/upstream/connect.rs
+++ b/src/upstream/connect.rs
@@ -127,8 +127,8 @@
         TrackedBody::new(request_body, self.progress.clone())
     }
 
-    /// Returns the index within its response of the chunk whose data is being received. Returns `None` between
-    /// chunks.
+    /// Returns the index within its response of the chunk of which data is missing. Returns `None` if there is
+    /// none.
     pub(super) fn incomplete_chunk(&self) -> Option<u64> {
         self.scanner.borrow().incomplete_chunk()
     }
--- a/src/upstream/response_scanner.rs
+++ b/src/upstream/response_scanner.rs
@@ -85,11 +85,11 @@
         self.position == Position::TooLarge
     }
 
-    /// Returns the index within its response, from 0, of the chunk whose data is being received. Returns `None`
-    /// between chunks.
+    /// Returns the index within its response, from 0, of the chunk of which data is missing. Returns `None` if
+    /// there is none, as between chunks.
     pub fn incomplete_chunk(&self) -> Option<u64> {
         match self.position {
-            Position::ChunkData(_) | Position::ChunkEnd => Some(self.chunks - 1),
+            Position::ChunkData(_) => Some(self.chunks - 1),
             _ => None,
         }
     }
--- a/tests/malformed_responses.rs
+++ b/tests/malformed_responses.rs
@@ -316,10 +316,13 @@
     ]
 }
 
-/// Streams in a single chunk, whose bytes arrive in pieces.
-fn single_chunk_streams(data: &str) -> Vec<SoundStream> {
+/// Streams in one or two chunks, whose bytes arrive in pieces.
+fn long_chunk_streams(data: &str) -> Vec<SoundStream> {
     let with_trailer = chunk(data) + "0\r\nA: b\r\n\r\n";
     let single_chunk = chunk(data) + LAST_CHUNK;
+    let (first, second) = data.split_at(data.len() / 2);
+    let two_chunks = chunk(first) + &chunk(second) + LAST_CHUNK;
+    let first_data_end = chunk(first).len() - "\r\n".len();
     let long = stream_data(70_000);
     let long_chunk = chunk(&long) + LAST_CHUNK;
     let slowly = END_WITHIN / 10;
@@ -327,6 +330,13 @@
         SoundStream::pieces("a trailer", data, &with_trailer, 100, EVENT_INTERVAL),
         SoundStream::pieces("one chunk in small pieces", data, &single_chunk, 7, EVENT_INTERVAL),
         SoundStream::pieces("one chunk that lasts for seconds", data, &single_chunk, 25, slowly),
+        SoundStream::pieces(
+            "line ends with the next chunk",
+            data,
+            &two_chunks,
+            first_data_end,
+            END_WITHIN / 3,
+        ),
         SoundStream::pieces("one chunk of a megabyte", &long, &long_chunk, 1 << 16, Duration::ZERO),
     ]
 }
@@ -389,7 +399,7 @@
 fn sound_streams_are_forwarded_whole_in_any_framing() {
     let router = StubbedRouter::start(&[]);
     let data = stream_data(20);
-    let streams = [chunked_streams(&data), single_chunk_streams(&data), plain_streams(&data)].concat();
+    let streams = [chunked_streams(&data), long_chunk_streams(&data), plain_streams(&data)].concat();
     let running: Vec<_> = streams
         .into_iter()
         .enumerate()
--- a/tests/response_scanner.rs
+++ b/tests/response_scanner.rs
@@ -84,6 +84,19 @@
     }
 }
 
+// Guards against an endpoint that counts as one whose chunk does not fit, although it only sends the line end of
+// a chunk together with the next chunk.
+#[test]
+fn a_chunk_is_incomplete_only_while_its_data_is() {
+    let mut scanner = ResponseScanner::default();
+    scanner.start_response(MAX_SIZE);
+    let pieces = [(CHUNKED, None), ("2\r\na", Some(0)), ("b", None), ("\r\n2\r\nc", Some(1)), ("d", None)];
+    for (piece, expected) in pieces {
+        assert_eq!(scanner.scan(&mut piece.to_owned().into_bytes()), Ok(piece.len()));
+        assert_eq!(scanner.incomplete_chunk(), expected, "after {piece:?}");
+    }
+}
+
 #[test]
 fn a_scanner_starts_anew_with_each_response() {
     let mut scanner = ResponseScanner::default();
