Read a body and return its connection in one place

Cause: a prefill's result, a health check and a discarded body each read a body and put the connection back on success.

Change: Upstream::receive_body serves all three. No behaviour changes.

--- a/src/upstream/attempt.rs
+++ b/src/upstream/attempt.rs
@@ -13,7 +13,7 @@
 use crate::upstream::exchange::{AttemptResponse, FirstResponse, RequestPayload, Upstream, UpstreamProtocol};
 use crate::upstream::load_report;
 use crate::upstream::request_head;
-use crate::upstream::response::{ResponseClass, classify, parse_cached_tokens, read_body};
+use crate::upstream::response::{ResponseClass, classify, parse_cached_tokens};
 use crate::upstream::response_head::ResponseHead;
 use crate::upstream::send_gate::{AttemptDeadlines, AttemptInFlight, SendDenied, SendGate};
 use crate::upstream::write_progress::{TrackedBody, WriteProgress};
@@ -220,11 +220,10 @@
     async fn read_accepted(
         &self, connection: Connection, body: Incoming, load_report: Option<LoadReport>,
     ) -> FirstResponse {
-        let text = match read_body(body).await {
+        let text = match self.upstream.receive_body(self.endpoint, connection, body).await {
             Ok(text) => text,
             Err(error) => return FirstResponse::finished(error.into()),
         };
-        self.upstream.pool().put_back(self.endpoint, connection);
         let response = match self.upstream.protocol() {
             UpstreamProtocol::Platform => AttemptResponse::Prefilled(parse_cached_tokens(&text)),
             UpstreamProtocol::Chat(_) => AttemptResponse::Finished(Outcome::Error),
--- a/src/upstream/control_call.rs
+++ b/src/upstream/control_call.rs
@@ -12,7 +12,6 @@
 use crate::upstream::exchange::Upstream;
 use crate::upstream::load_report;
 use crate::upstream::request_head;
-use crate::upstream::response::read_body;
 use crate::upstream::response_limit::MAX_CONTROL_BODY_SIZE;
 
 /// Maximum time for an endpoint to respond to a health check.
@@ -78,8 +77,7 @@
     async fn query_load(&self, endpoint: EndpointId) -> Option<Response<Bytes>> {
         let exchange = self.call(endpoint, CallConnection::Pooled, Method::GET, HEALTH_CHECK_PATH).await?;
         let (head, body) = exchange.response.into_parts();
-        let text = read_body(body).await.ok()?;
-        self.pool().put_back(endpoint, exchange.connection);
+        let text = self.receive_body(endpoint, exchange.connection, body).await.ok()?;
         Some(Response::from_parts(head, text))
     }
 
--- a/src/upstream/response.rs
+++ b/src/upstream/response.rs
@@ -89,7 +89,7 @@
 /// # Errors
 ///
 /// Returns an error if the body is malformed, too large or incomplete.
-pub(super) async fn read_body(body: Incoming) -> Result<Bytes, StreamError> {
+async fn read_body(body: Incoming) -> Result<Bytes, StreamError> {
     if body.size_hint().lower() > MAX_CONTROL_BODY_SIZE as u64 {
         return Err(StreamError::Malformed);
     }
@@ -101,12 +101,22 @@
 }
 
 impl Upstream {
+    /// Reads a complete body and returns its connection to the pool. Otherwise, the connection is closed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body is malformed, too large or incomplete.
+    pub(super) async fn receive_body(
+        &self, endpoint: EndpointId, connection: Connection, body: Incoming,
+    ) -> Result<Bytes, StreamError> {
+        let text = read_body(body).await?;
+        self.pool().put_back(endpoint, connection);
+        Ok(text)
+    }
+
     /// Reads and discards a body so that its connection can be reused.
     pub(super) async fn discard_body(&self, endpoint: EndpointId, connection: Connection, body: Incoming) {
-        let read = timeout(DISCARDED_BODY_TIMEOUT, read_body(body)).await;
-        if matches!(read, Ok(Ok(_))) {
-            self.pool().put_back(endpoint, connection);
-        }
+        let _ = timeout(DISCARDED_BODY_TIMEOUT, self.receive_body(endpoint, connection, body)).await;
     }
 }
 
